--- /dev/null
+++ b/internal/evlog/evlog.go
@@ -0,0 +1,68 @@
+// Package evlog writes the event log of a process: one line of key=value pairs per event, stamped with a hybrid
+// logical clock, so that carobctl timeline can merge the logs of all processes in causal order.
+package evlog
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+)
+
+// Keys that every line or the time line relies on.
+const (
+	KeyProcess = "process" // name of the process, set once
+	KeyHLC     = "hlc"     // hybrid logical clock, "<wall micros>.<counter>"
+	KeyRequest = "request" // request id
+	KeyObject  = "object"  // kind/name of a platform object
+	KeyAttempt = "attempt" // attempt number of a request
+)
+
+// New returns a logger that writes key=value lines to w. Attributes whose key names a secret are redacted.
+func New(w io.Writer, process string, level slog.Level, clock *Clock) *slog.Logger {
+	text := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: redact})
+	handler := &clockHandler{Handler: text, clock: clock}
+	return slog.New(handler).With(KeyProcess, process)
+}
+
+// Stderr returns a logger on standard error.
+func Stderr(process string, level slog.Level, clock *Clock) *slog.Logger {
+	return New(os.Stderr, process, level, clock)
+}
+
+// Discard returns a logger that drops everything.
+func Discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+type clockHandler struct {
+	slog.Handler
+	clock *Clock
+}
+
+// Handle adds the hybrid logical clock to the record.
+func (h *clockHandler) Handle(ctx context.Context, r slog.Record) error {
+	r.AddAttrs(slog.String(KeyHLC, h.clock.Now().String()))
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs keeps the clock on derived loggers.
+func (h *clockHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &clockHandler{Handler: h.Handler.WithAttrs(attrs), clock: h.clock}
+}
+
+// WithGroup keeps the clock on derived loggers.
+func (h *clockHandler) WithGroup(name string) slog.Handler {
+	return &clockHandler{Handler: h.Handler.WithGroup(name), clock: h.clock}
+}
+
+// secretKeys are attribute keys whose values never reach a log.
+var secretKeys = map[string]bool{
+	"authorization": true, "key": true, "secret": true, "password": true, "cookie": true, "cursor": true,
+	"cluster_key": true, "cursor_key": true, "api_key": true, "token": true, "body": true, "prompt": true,
+}
+
+func redact(_ []string, a slog.Attr) slog.Attr {
+	if secretKeys[a.Key] {
+		return slog.String(a.Key, "[redacted]")
+	}
+	return a
+}
--- /dev/null
+++ b/internal/evlog/evlog_test.go
@@ -0,0 +1,46 @@
+package evlog
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against secrets reaching a log through a known attribute.
+func TestSecretsAreRedacted(t *testing.T) {
+	var out bytes.Buffer
+	log := New(&out, "gate-1", slog.LevelInfo, NewClock(func() time.Time { return time.UnixMicro(7) }))
+	log.Info("request received", "api_key", "sk-123", "request", "r1")
+	require.NotContains(t, out.String(), "sk-123")
+	require.Contains(t, out.String(), "process=gate-1")
+	require.Contains(t, out.String(), "request=r1 hlc=7.0")
+}
+
+// Guards against a time line in which an effect precedes its cause because hosts' clocks differ.
+func TestClockOrdersReceiptAfterSending(t *testing.T) {
+	ahead := NewClock(func() time.Time { return time.UnixMicro(5_000) })
+	behind := NewClock(func() time.Time { return time.UnixMicro(10) })
+	sent := ahead.Now()
+	behind.Observe(sent)
+	require.True(t, sent.Less(behind.Now()))
+}
+
+// Guards against one host with a broken clock moving the time line of all others.
+func TestClockIgnoresTimestampsFarAhead(t *testing.T) {
+	clock := NewClock(func() time.Time { return time.UnixMicro(10) })
+	clock.Observe(Timestamp{WallMicros: 10 + 2*maxAheadMicros})
+	require.Equal(t, int64(10), clock.Now().WallMicros)
+}
+
+// Guards against a format change that would make old logs unreadable for carobctl timeline.
+func TestTimestampRoundTrip(t *testing.T) {
+	want := Timestamp{WallMicros: 12, Counter: 3}
+	got, err := ParseTimestamp(want.String())
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	_, err = ParseTimestamp("12")
+	require.Error(t, err)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,89 @@
+// Package platform is the client of the platform's object API, which keeps what must last: the configuration, claims,
+// leases and verdicts.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxValueBytes is the largest value that the object API holds.
+const MaxValueBytes = 1 << 20
+
+// Kinds of objects that carobstile keeps.
+const (
+	KindConfig      = "config"       // the root of the configuration, name "root"
+	KindConfigChunk = "config-chunk" // chunks of the configuration, named by SHA-256 in hex
+	KindClaim       = "claims"       // claims of non-idempotent requests
+	KindLease       = "leases"       // leases, name "controller"
+	KindVerdict     = "verdicts"     // fingerprints of requests that crash engines
+	KindStatus      = "status"       // published status for operators
+)
+
+// Object is one stored value.
+type Object struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Version is the revision of the last write; 0 means that the object does not exist.
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// HostState says whether the platform takes a host for live.
+type HostState string
+
+// States of a host.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is an entry of the platform's lagging host list. It lists entry hosts and backend server hosts.
+type Host struct {
+	// Address is the IP address and port of the process on the host.
+	Address       string    `json:"address"`
+	FailureDomain string    `json:"failureDomain"`
+	State         HostState `json:"state"`
+}
+
+// Errors of the object API. Use errors.Is.
+var (
+	// ErrNotFound: the object does not exist.
+	ErrNotFound = errors.New("object not found")
+	// ErrConflict: the condition on the version did not hold; nothing was written.
+	ErrConflict = errors.New("version conflict")
+	// ErrTooLarge: the value is over MaxValueBytes; nothing was written.
+	ErrTooLarge = errors.New("value too large")
+	// ErrRejected: the platform refused the call before it took effect (rate limit or outage); nothing was written.
+	ErrRejected = errors.New("call rejected by the platform")
+	// ErrUnknown: the answer was lost; a write may or may not have taken effect.
+	ErrUnknown = errors.New("outcome of the call is unknown")
+)
+
+// Watch is the result of waiting for a change.
+type Watch struct {
+	// Revision to pass as after on the next call.
+	Revision uint64 `json:"revision"`
+	// Objects that changed, in the order of their versions; empty on a timeout. A deleted object has Version 0.
+	Objects []Object `json:"objects"`
+}
+
+// Store is the object API. All methods honour the context's deadline and return the errors above, wrapped.
+type Store interface {
+	// Get reads one object. Reads may be stale.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Put writes unconditionally and returns the new version.
+	Put(ctx context.Context, kind, name string, value []byte) (uint64, error)
+	// PutIf writes when the object's version is ifVersion (0: it must not exist) and returns the new version.
+	PutIf(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error)
+	// DeleteIf deletes when the object's version is ifVersion.
+	DeleteIf(ctx context.Context, kind, name string, ifVersion uint64) error
+	// List returns the objects of a kind whose names start with prefix, sorted by name.
+	List(ctx context.Context, kind, prefix string) ([]Object, error)
+	// WatchAfter waits up to timeout for a change after revision.
+	WatchAfter(ctx context.Context, kind, prefix string, revision uint64, timeout time.Duration) (Watch, error)
+	// Hosts returns the lagging host list.
+	Hosts(ctx context.Context) ([]Host, error)
+}
