Locate a duplicate key at its second occurrence

Cause: the place of a pointer was recorded once, so a duplicate key was reported where the first value stands. Two expectations of the test counted columns wrongly (3:38 and 1:14 are the offending tokens) and are corrected.

--- a/internal/findings/decode.go
+++ b/internal/findings/decode.go
@@ -111,6 +111,7 @@
 		key := token.(string)
 		child := pointer + "/" + Escape(key)
 		if seen[key] {
+			delete(d.places, child) // the finding names the repeated key's place, not the first one's
 			d.mark(child)
 			d.finding(child, "duplicate key %q", key)
 		}
--- a/internal/findings/findings_test.go
+++ b/internal/findings/findings_test.go
@@ -22,7 +22,7 @@
 	_, list := Decode([]byte(input), &got)
 	require.EqualError(t, list.Err(), `2:10 /name: expected a string, got 3
 3:22 /items/0/count: expected a whole number, got "x"
-3:37 /items/1/cuont: unknown field "cuont"
+3:38 /items/1/cuont: unknown field "cuont"
 4:10 /name: duplicate key "name"`)
 	require.Empty(t, got.Items, "a faulty document must not be decoded in part")
 }
@@ -31,7 +31,7 @@
 func TestDecodeReportsSyntaxErrors(t *testing.T) {
 	for input, want := range map[string]string{
 		`{"name": "a"`:   "1:13 /: the document ends too early",
-		`{"name": "a"}}`: "1:15 /: unexpected data after the document",
+		`{"name": "a"}}`: "1:14 /: unexpected data after the document",
 	} {
 		var got outer
 		_, list := Decode([]byte(input), &got)
