--- a/internal/config/stored.go
+++ b/internal/config/stored.go
@@ -40,6 +40,9 @@
 type Attempt struct {
 	Generation uint64 `json:"generation"`
 	ID         string `json:"id"`
+	// Author and AcceptedAtMicros are those of the root of that generation; together the attempts are the audit list.
+	Author           string `json:"author,omitempty"`
+	AcceptedAtMicros int64  `json:"acceptedAtMicros,omitempty"`
 }
 
 // Hashes returns the hashes of all chunks, sorted.
--- /dev/null
+++ b/internal/confstore/confstore_test.go
@@ -0,0 +1,174 @@
+package confstore
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/findings"
+	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/stretchr/testify/require"
+)
+
+func newTestStore(objects platform.Store) *Store {
+	s := New(objects)
+	n := 0
+	s.newID = func() string { n++; return fmt.Sprintf("%p-%d", s, n) }
+	s.pause = func(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+	return s
+}
+
+func document(weights ...int) *config.Document {
+	doc := &config.Document{FormatVersion: config.FormatVersion, Callers: []config.Caller{{Name: "trust"}}}
+	for i, w := range weights {
+		doc.Workspaces = append(doc.Workspaces, config.Workspace{
+			Name: fmt.Sprintf("w%d", i), Caller: "trust", KeyHashes: []string{config.HashKey(fmt.Sprint(i))}, Weight: w,
+		})
+	}
+	return doc
+}
+
+func apply(t *testing.T, s *Store, doc *config.Document) *Snapshot {
+	t.Helper()
+	base, err := s.Read(t.Context())
+	require.NoError(t, err)
+	accepted, err := s.Apply(t.Context(), base, doc, "ada")
+	require.NoError(t, err)
+	return accepted
+}
+
+// Guards against a root that names chunks which are not yet stored, and against a version that reads back changed.
+func TestApplyWritesChunksBeforeTheRoot(t *testing.T) {
+	objects := newMemoryStore()
+	s := newTestStore(objects)
+	accepted := apply(t, s, document(1, 2))
+	require.Equal(t, platform.KindConfig, objects.writes[len(objects.writes)-1])
+	require.Equal(t, uint64(1), accepted.Root.Generation)
+	for _, reader := range []*Store{s, newTestStore(objects)} {
+		got, err := reader.Read(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, accepted, got)
+	}
+}
+
+// Guards against rewriting all chunks for a change of one workspace.
+func TestApplyWritesOnlyNewChunks(t *testing.T) {
+	objects := newMemoryStore()
+	s := newTestStore(objects)
+	apply(t, s, document(1, 2, 3))
+	objects.writes = nil
+	apply(t, s, document(1, 2, 4))
+	require.Equal(t, []string{platform.KindConfigChunk, platform.KindConfig}, objects.writes)
+}
+
+// Guards against taking a lost answer for a failure, which would make an operator apply twice.
+func TestLostAnswerIsResolvedByReadingBack(t *testing.T) {
+	objects := newMemoryStore()
+	s := newTestStore(objects)
+	apply(t, s, document(1))
+	before := objects.objects["config/root"]
+	objects.lose, objects.stale, objects.staleReads = 1, &before, 0
+	objects.before = func() { objects.staleReads = 1 }
+	accepted := apply(t, s, document(2))
+	require.Equal(t, uint64(2), accepted.Root.Generation)
+	require.Equal(t, accepted.Version, objects.objects["config/root"].Version)
+}
+
+// Guards against giving up on a call that the platform refused for its rate.
+func TestRejectedWriteIsRepeated(t *testing.T) {
+	objects := newMemoryStore()
+	objects.reject = 3
+	require.Equal(t, uint64(1), apply(t, newTestStore(objects), document(1)).Root.Generation)
+}
+
+// Guards against overwriting another operator's change, and against a conflict that does not say what it is.
+func TestConflictTellsWhatChanged(t *testing.T) {
+	objects := newMemoryStore()
+	s, other := newTestStore(objects), newTestStore(objects)
+	base := apply(t, s, document(1, 1))
+	objects.before = func() { apply(t, other, document(1, 7)) }
+	_, err := s.Apply(t.Context(), base, document(3, 1), "ben")
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.EqualError(t, err, "generation 2 by ada was accepted meanwhile; it changed:\n"+
+		"  ~ workspaces/w1 weight: 1 -> 7")
+	now, err := newTestStore(objects).Read(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, 7, now.Document.Workspaces[1].Weight)
+	require.Equal(t, 1, now.Document.Workspaces[0].Weight)
+}
+
+// Guards against a conflict report for a change that was accepted: its answer was lost and another change followed.
+func TestLostAnswerFollowedByAnotherChange(t *testing.T) {
+	objects := newMemoryStore()
+	s := newTestStore(objects)
+	base := apply(t, s, document(1))
+	objects.lose = 1
+	read := 0
+	s.objects = &hook{Store: objects, get: func() {
+		if read++; read == 1 {
+			apply(t, newTestStore(objects), document(5))
+		}
+	}}
+	accepted, err := s.Apply(t.Context(), base, document(2), "ben")
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), accepted.Root.Generation)
+}
+
+type hook struct {
+	platform.Store
+	get func()
+}
+
+func (h *hook) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	h.get()
+	return h.Store.Get(ctx, kind, name)
+}
+
+// Guards against an error that claims nothing was written when the answer was lost for good.
+func TestOutcomeUnknownIsSaid(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	objects := newMemoryStore()
+	s := newTestStore(&silent{Store: objects, cancel: cancel})
+	objects.lose = 1
+	base := &Snapshot{Document: &config.Document{FormatVersion: config.FormatVersion}}
+	_, err := s.Apply(ctx, base, document(1), "ada")
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+}
+
+// silent loses all answers of reads after the first write of the root.
+type silent struct {
+	platform.Store
+	cancel func()
+}
+
+func (s *silent) Get(context.Context, string, string) (platform.Object, error) {
+	s.cancel()
+	return platform.Object{}, platform.ErrUnknown
+}
+
+// Guards against an invalid document reaching the platform.
+func TestInvalidDocumentIsRefused(t *testing.T) {
+	objects := newMemoryStore()
+	doc := document(1)
+	doc.Workspaces[0].Caller = "nobody"
+	_, err := newTestStore(objects).Apply(t.Context(), &Snapshot{}, doc, "ada")
+	var found *findings.Error
+	require.ErrorAs(t, err, &found)
+	require.Empty(t, objects.writes)
+}
+
+// Guards against a root that grows without bound or forgets recent attempts.
+func TestRootKeepsTheLastAttempts(t *testing.T) {
+	objects := newMemoryStore()
+	s := newTestStore(objects)
+	var last *Snapshot
+	for i := range config.KeptAttempts + 5 {
+		last = apply(t, s, document(i%9+1))
+	}
+	require.Len(t, last.Root.Attempts, config.KeptAttempts)
+	require.Equal(t, uint64(6), last.Root.Attempts[0].Generation)
+	require.Equal(t, last.Root.Generation, last.Root.Attempts[config.KeptAttempts-1].Generation)
+}
--- /dev/null
+++ b/internal/confstore/store_test.go
@@ -0,0 +1,87 @@
+package confstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/platform"
+)
+
+// memoryStore is an object API in memory whose answers can be tampered with.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]platform.Object
+	// before runs ahead of a root write, outside the lock.
+	before func()
+	// lose makes the next root writes take effect and lose their answer; reject refuses them.
+	lose, reject int
+	// stale makes the next reads of the root return this object.
+	stale      *platform.Object
+	staleReads int
+	writes     []string
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]platform.Object{}} }
+
+func (m *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if kind == platform.KindConfig && m.staleReads > 0 && m.stale != nil {
+		m.staleReads--
+		return *m.stale, nil
+	}
+	object, ok := m.objects[kind+"/"+name]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, kind, name string, value []byte) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.write(kind, name, value), nil
+}
+
+func (m *memoryStore) write(kind, name string, value []byte) uint64 {
+	m.revision++
+	m.objects[kind+"/"+name] = platform.Object{Kind: kind, Name: name, Version: m.revision, Value: value}
+	m.writes = append(m.writes, kind)
+	return m.revision
+}
+
+func (m *memoryStore) PutIf(_ context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+	if before := m.before; before != nil {
+		m.before = nil
+		before()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.reject > 0 {
+		m.reject--
+		return 0, platform.ErrRejected
+	}
+	if m.objects[kind+"/"+name].Version != ifVersion {
+		return 0, platform.ErrConflict
+	}
+	version := m.write(kind, name, value)
+	if m.lose > 0 {
+		m.lose--
+		return 0, platform.ErrUnknown
+	}
+	return version, nil
+}
+
+func (m *memoryStore) DeleteIf(context.Context, string, string, uint64) error { return nil }
+
+func (m *memoryStore) List(context.Context, string, string) ([]platform.Object, error) {
+	return nil, nil
+}
+
+func (m *memoryStore) WatchAfter(context.Context, string, string, uint64, time.Duration) (platform.Watch, error) {
+	return platform.Watch{}, nil
+}
+
+func (m *memoryStore) Hosts(context.Context) ([]platform.Host, error) { return nil, nil }
