--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -96,7 +96,13 @@
 	return name
 }
 
-func (o *object) json() json.RawMessage { return fieldJSON(o.value) }
+// json returns the JSON of the object, or nothing when there is no object.
+func (o *object) json() json.RawMessage {
+	if o == nil {
+		return nil
+	}
+	return fieldJSON(o.value)
+}
 
 type objects struct {
 	list   []*object
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+
+	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+func member(name, address string, state pb.MemberState) *pb.Member {
+	return &pb.Member{Name: name, Address: address, FailureDomain: "w1", State: state}
+}
+
+func daemon(t *testing.T, address string, status *pb.StatusResponse) string {
+	t.Helper()
+	body, err := protojson.Marshal(status)
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/status" {
+				_, _ = w.Write(body)
+			} else {
+				_, _ = w.Write([]byte("# TYPE a counter\na{x=\"1}\"} 2\na{x=\"2\"} 3\nb_bucket{le=\"1\"} 9\nc 1.5 17\nbad\n"))
+			}
+		})}}
+	server.Start()
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
+// Guards against calling a generation in force everywhere while a daemon is silent or behind, and against waiting for
+// members that are dead or leaving.
+func TestSurveyFindsDaemonsBehind(t *testing.T) {
+	alive, dead := pb.MemberState_MEMBER_STATE_ALIVE, pb.MemberState_MEMBER_STATE_DEAD
+	second := daemon(t, "127.0.0.2:0", &pb.StatusResponse{Self: member("g2", "127.0.0.2:7000", alive), Generation: 4})
+	_, port, err := net.SplitHostPort(second)
+	require.NoError(t, err)
+	first := daemon(t, "127.0.0.1:0", &pb.StatusResponse{
+		Self: member("g1", "127.0.0.1:7000", alive), Generation: 5, Members: []*pb.Member{
+			member("g1", "127.0.0.1:7000", alive), member("g2", "127.0.0.2:7000", alive),
+			member("g3", "127.0.0.3:7000", alive), member("g4", "127.0.0.4:7000", dead),
+		},
+	})
+	number, err := strconv.Atoi(port)
+	require.NoError(t, err)
+
+	got := NewClient([]string{first}, number).Survey(t.Context())
+	require.Len(t, got, 4)
+	behind := Behind(got, 5)
+	require.Len(t, behind, 2)
+	require.Equal(t, "g2", behind[0].Name)
+	require.Equal(t, uint64(4), behind[0].Generation())
+	require.Equal(t, "g3", behind[1].Name)
+	require.NotEmpty(t, behind[1].Problem)
+
+	unknown := Behind(NewClient([]string{first}, 0).Survey(t.Context()), 5)
+	require.Len(t, unknown, 2)
+	require.Equal(t, "no admin address known", unknown[0].Problem)
+}
+
+// Guards against misreading the metrics text: labels with braces, time stamps and distributions.
+func TestMetricsAreSummed(t *testing.T) {
+	address := daemon(t, "127.0.0.1:0", &pb.StatusResponse{})
+	got, err := NewClient(nil, 0).Metrics(t.Context(), address)
+	require.NoError(t, err)
+	require.Equal(t, map[string]float64{"a": 5, "c": 1.5}, got)
+}
