Add carobctl: validate, diff, apply, get, status, drain, timeline, keygen, hash-key, completion

Cause: operators need one tool that checks, applies conditionally on the version read and says which daemons are behind. Exit codes are documented in the help. keygen calls a function value, since the generator belongs to internal/peer.

Failed try: get printed missing lists as null, which Parse refuses, so that a fetched document could not be applied again; the first recording of the sessions showed it. config.Format writes empty lists. Ruled out: taking the key of hash-key from the command line, where other users of the host can read it; apply without a base as the recommended way, because it takes back what others changed since get (--base merges).

Before: no operators' tool.

--- /dev/null
+++ b/cmd/carobctl/main.go
@@ -0,0 +1,18 @@
+// Command carobctl is the command line of operators.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/carobstile/carobstile/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := ctl.Main(ctx, os.Args[1:], ctl.DefaultEnv())
+	stop()
+	os.Exit(code)
+}
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -129,3 +129,15 @@
 		require.NotContains(t, f.Message, "sk-very-secret")
 	}
 }
+
+// Guards against a fetched document that cannot be applied again, because its empty lists are null.
+func TestFormatIsParsed(t *testing.T) {
+	doc := validDocument()
+	doc.Callers[0].Routes, doc.Routes, doc.Workspaces[0].KeyHashes = nil, nil, nil
+	data, err := Format(doc)
+	require.NoError(t, err)
+	got, err := Parse(data)
+	require.NoError(t, err)
+	require.Empty(t, Diff(doc, got))
+	require.Nil(t, doc.Routes)
+}
--- /dev/null
+++ b/internal/ctl/commands.go
@@ -0,0 +1,103 @@
+package ctl
+
+import (
+	"time"
+
+	flags "github.com/jessevdk/go-flags"
+)
+
+// command is one entry of the command line.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func (c *cli) commands() []command {
+	return []command{
+		{
+			"validate", "Check a document", `Checks FILE and prints every finding as FILE:line:column pointer: message.
+It needs no platform. FILE may be - for standard input.`,
+			&validateCommand{cli: c},
+		},
+		{
+			"diff", "Show what applying a document would change", `Checks FILE and lists the differences to the
+configuration in force, by object and field: + added, - removed, ~ changed.
+Exit code 0 means no difference, 4 means that there are some.`,
+			&diffCommand{cli: c},
+		},
+		{
+			"apply", "Make a document the next version", `Checks FILE, makes it the next version, and waits until
+every daemon has it in force. The write is conditional on the version that the
+command read, so that a change by another operator in between is never
+overwritten.
+
+With --base FILE (what get returned before you edited), changes that others
+made since are kept: changes to different parts are merged, and different
+changes to the same field are listed and nothing is applied.
+With --generation N, nothing is applied unless generation N is in force.`,
+			&applyCommand{cli: c},
+		},
+		{
+			"get", "Print the configuration in force", `Prints the document in force as JSON on standard output, and its
+generation, author and time on standard error.`,
+			&getCommand{cli: c},
+		},
+		{
+			"status", "Show daemons, pools and engines", `Asks the daemons' admin addresses and shows members, the
+generation in force at each, pools and engines. Name at least one daemon with
+--admin; with --admin-port all members are asked.`,
+			&statusCommand{cli: c},
+		},
+		{
+			"drain", "Give a backend server no new work", `Marks the backend server NAME as drained and waits until that is
+in force. Requests that run on it finish.`,
+			&drainCommand{cli: c, drained: true},
+		},
+		{
+			"undrain", "Give a backend server work again", "Removes the drained mark of the backend server NAME.",
+			&drainCommand{cli: c},
+		},
+		{
+			"timeline", "Merge event logs of a request or object", `Reads event logs of any number of processes and prints
+the events of a request or object in causal order. Lines that cannot be read
+are counted and passed over.
+
+Example: carobctl timeline --request 3f2a logs/gate-*.log`,
+			&timelineCommand{cli: c},
+		},
+		{
+			"keygen", "Make keys and certificates for development", `Makes a development certificate authority, one
+certificate a host, a cluster key and a cursor key under --out. Files are
+readable by their owner only. Production deployments use their own authority.
+
+Example: carobctl keygen --out keys --host gate-1=127.0.0.1 --host gate-2=127.0.0.2`,
+			&keygenCommand{cli: c},
+		},
+		{
+			"hash-key", "Hash a bearer key for keyHashes", `Reads a bearer key from standard input and prints its SHA-256 for
+keyHashes of a workspace. The key is not taken from the command line, where
+other users of the host could see it.
+
+Example: carobctl hash-key < key.txt`,
+			&hashKeyCommand{cli: c},
+		},
+		{
+			"completion", "Print a shell completion script", `Prints a completion script for bash or zsh.
+
+Example: source <(carobctl completion bash)`,
+			&completionCommand{cli: c},
+		},
+	}
+}
+
+// fileArgument is the document of a command.
+type fileArgument struct {
+	Args struct {
+		File flags.Filename `positional-arg-name:"FILE" description:"document, or - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// waitOption bounds the wait for daemons.
+type waitOption struct {
+	Wait time.Duration `long:"wait" value-name:"DURATION" default:"15s" description:"how long to wait until the version is in force at every daemon; 0s does not wait"`
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,236 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/confstore"
+	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// bench is a platform in memory, two daemons and a directory of files.
+type bench struct {
+	t       *testing.T
+	objects *platform.Fake
+	// stuck daemons keep generation 1.
+	stuck  bool
+	admin  []string
+	stdin  string
+	keygen func(KeygenRequest) ([]string, error)
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, objects: platform.NewFake()}
+	for i := range 2 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { b.status(w, i) }))
+		t.Cleanup(server.Close)
+		b.admin = append(b.admin, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return b
+}
+
+func (b *bench) status(w http.ResponseWriter, i int) {
+	snapshot, err := confstore.New(b.objects).Read(context.Background())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	generation := snapshot.Root.Generation
+	if b.stuck && i == 1 {
+		generation = min(generation, 1)
+	}
+	self := &pb.Member{
+		Name: fmt.Sprintf("gate-%d", i+1), Address: "127.0.0.1:7000", Region: "west", FailureDomain: "w1",
+		State: pb.MemberState_MEMBER_STATE_ALIVE,
+	}
+	status := &pb.StatusResponse{Self: self, Members: []*pb.Member{self}, Generation: generation, Ready: true, OpenStreams: 3}
+	if i == 0 {
+		status.Pools = []*pb.PoolStatus{{Pool: "p1", EnginesReady: 1, Grants: 2, Queued: 1, Engines: []*pb.EngineStatus{{
+			Name: "e1", State: "ready", Role: "mixed", Models: []string{"prairie@v1"}, KvTokensTotal: 400_000,
+			KvTokensUsed: 100_000, ReportAgeMicros: 120_000,
+		}}}}
+	}
+	body, err := protojson.Marshal(status)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (b *bench) run(args ...string) (stdout, stderr string, code int) {
+	var out, errOut bytes.Buffer
+	env := Env{
+		Stdin: strings.NewReader(b.stdin), Stdout: &out, Stderr: &errOut, Author: "ada", Poll: time.Millisecond,
+		NewStore: func(string) platform.Store { return b.objects }, Keygen: b.keygen,
+	}
+	global := []string{"--platform", "127.0.0.1:1", "--admin", b.admin[0], "--admin", b.admin[1]}
+	code = Main(b.t.Context(), append(global, args...), env)
+	return out.String(), errOut.String(), code
+}
+
+func sampleDocument() *config.Document {
+	engine := func(name string, host int) config.BackendServer {
+		return config.BackendServer{
+			Name: name, Address: fmt.Sprintf("10.0.0.%d:8000", host), Kind: config.KindEngine, Region: "west",
+			FailureDomain: "w1", Pool: "p1", KVTokens: 400_000, PrefillTokensPerSecond: 8_000, DecodeTokensPerSecond: 60,
+		}
+	}
+	return &config.Document{
+		FormatVersion: config.FormatVersion,
+		Callers:       []config.Caller{{Name: "trust", Priority: 5, Models: []string{"prairie"}}},
+		Workspaces:    []config.Workspace{{Name: "alpha", Caller: "trust", KeyHashes: []string{config.HashKey("a")}}},
+		Models: []config.Model{{
+			Name: "prairie", Version: "v1", MaxPromptTokens: 500_000, MinReplicas: 1,
+		}},
+		BackendServers: []config.BackendServer{engine("e1", 1), engine("e2", 2)},
+	}
+}
+
+func writeDocument(t *testing.T, path string, edit func(d *config.Document)) {
+	t.Helper()
+	doc := sampleDocument()
+	edit(doc)
+	data, err := config.Format(doc)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+}
+
+func writeFiles(t *testing.T) {
+	t.Helper()
+	writeDocument(t, "base.json", func(*config.Document) {})
+	writeDocument(t, "weight2.json", func(d *config.Document) { d.Workspaces[0].Weight = 2 })
+	writeDocument(t, "weight3.json", func(d *config.Document) { d.Workspaces[0].Weight = 3 })
+	writeDocument(t, "priority7.json", func(d *config.Document) { d.Callers[0].Priority = 7 })
+	writeDocument(t, "faulty.json", func(d *config.Document) {
+		d.Workspaces[0].Caller, d.BackendServers[1].Address = "nobody", "host-2:8000"
+	})
+	require.NoError(t, os.WriteFile("syntax.json", []byte("{\n  \"formatVersion\": 1,,\n}"), 0o600))
+	require.NoError(t, os.WriteFile("settings.json", []byte(`{"platform": "nohost", "adminPort": 70000, "x": 1}`), 0o600))
+	require.NoError(t, os.WriteFile("gate.log", []byte(
+		"level=INFO msg=admitted process=gate-1 request=r1 hlc=1000000.0\n"+
+			"level=INFO msg=ended process=gate-1 request=r1 outcome=complete hlc=3000000.0\nbroken \"line\n"), 0o600))
+	require.NoError(t, os.WriteFile("pool.log", []byte(
+		"level=INFO msg=\"grant made\" process=gate-2 request=r1 engine=e1 hlc=2000000.4\n"+
+			"level=INFO msg=\"grant made\" process=gate-2 request=r2 engine=e2 hlc=2000001.0\n"), 0o600))
+}
+
+var times = regexp.MustCompile(`accepted \S+Z`)
+
+// replay runs the commands of a session file and returns the session that results: "$" is a command, "|" standard
+// output, "!" standard error, "=" the exit code, "#" a comment and "%" a switch of the bench.
+func (b *bench) replay(session string) string {
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSuffix(session, "\n"), "\n") {
+		switch {
+		case strings.HasPrefix(line, "$ "):
+			out.WriteString(line + "\n")
+			stdout, stderr, code := b.run(strings.Fields(line)[2:]...)
+			writePrefixed(&out, "| ", stdout)
+			writePrefixed(&out, "! ", times.ReplaceAllString(stderr, "accepted (time)"))
+			fmt.Fprintf(&out, "= %d\n", code)
+		case strings.HasPrefix(line, "% "):
+			out.WriteString(line + "\n")
+			b.set(strings.TrimPrefix(line, "% "))
+		case line == "" || strings.HasPrefix(line, "#"):
+			out.WriteString(line + "\n")
+		}
+	}
+	return out.String()
+}
+
+func (b *bench) set(text string) {
+	key, value, _ := strings.Cut(text, " ")
+	switch key {
+	case "stdin":
+		b.stdin = value
+	case "stuck":
+		b.stuck = true
+	case "outage":
+		b.objects.SetFaults(platform.Faults{Outage: true})
+	default:
+		b.t.Fatalf("unknown switch %q", text)
+	}
+}
+
+func writePrefixed(out *strings.Builder, prefix, text string) {
+	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		if text != "" {
+			out.WriteString(strings.TrimRight(prefix+line, " ") + "\n")
+		}
+	}
+}
+
+// Guards against changes of output and exit codes that scripts and operators rely on, over whole sessions.
+func TestSessions(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.session")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, relative := range paths {
+		path, err := filepath.Abs(relative)
+		require.NoError(t, err)
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			want, err := os.ReadFile(path)
+			require.NoError(t, err)
+			b := newBench(t)
+			t.Chdir(t.TempDir())
+			writeFiles(t)
+			got := b.replay(string(want))
+			if os.Getenv("CAROBSTILE_UPDATE_GOLDEN") == "1" {
+				require.NoError(t, os.WriteFile(path, []byte(got), 0o644))
+				return
+			}
+			require.Equal(t, string(want), got)
+		})
+	}
+}
+
+// Guards against JSON output that programs cannot read.
+func TestJSONOutputParses(t *testing.T) {
+	b := newBench(t)
+	t.Chdir(t.TempDir())
+	writeFiles(t)
+	for _, command := range []string{
+		"apply base.json", "apply weight2.json", "validate base.json", "validate faulty.json", "diff weight2.json", "get", "status",
+		"apply --base weight2.json weight3.json", "drain e1",
+	} {
+		stdout, _, _ := b.run(append([]string{"-o", "json"}, strings.Fields(command)...)...)
+		var out map[string]any
+		require.NoError(t, json.Unmarshal([]byte(stdout), &out), "%s: %s", command, stdout)
+	}
+	stdout, _, _ := b.run("-o", "json", "timeline", "--all", "gate.log", "pool.log")
+	for _, line := range strings.Split(strings.TrimSpace(stdout), "\n") {
+		require.True(t, json.Valid([]byte(line)), line)
+	}
+}
+
+// Guards against keys being written over existing ones and against a host list that is passed on wrongly.
+func TestKeygenPassesHosts(t *testing.T) {
+	b := newBench(t)
+	var got KeygenRequest
+	b.keygen = func(r KeygenRequest) ([]string, error) { got = r; return []string{"ca.pem"}, nil }
+	dir := t.TempDir()
+	stdout, stderr, code := b.run("keygen", "--out", dir, "--host", "g1=127.0.0.1,::1")
+	require.Equal(t, 0, code, stderr)
+	require.Equal(t, "ca.pem\n", stdout)
+	require.Equal(t, 720*time.Hour, got.Validity)
+	require.Len(t, got.Hosts[0].Addresses, 2)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "x"), nil, 0o600))
+	_, stderr, code = b.run("keygen", "--out", dir, "--host", "g1=127.0.0.1")
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, stderr, "not overwritten")
+}
--- /dev/null
+++ b/internal/ctl/tools.go
@@ -0,0 +1,206 @@
+package ctl
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/timeline"
+	"github.com/cockroachdb/errors"
+	flags "github.com/jessevdk/go-flags"
+)
+
+type timelineCommand struct {
+	cli     *cli
+	Request string `long:"request" value-name:"ID" description:"request id"`
+	Object  string `long:"object" value-name:"NAME" description:"platform object as kind/name, or name of an engine, server, pool, member, gate, model, route, workspace or caller"`
+	All     bool   `long:"all" description:"print all events"`
+	Args    struct {
+		Files []flags.Filename `positional-arg-name:"LOG" required:"1" description:"event logs"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// timelineEvent is the JSON output of timeline, one object a line.
+type timelineEvent struct {
+	HLC  string    `json:"hlc"`
+	Time time.Time `json:"time"`
+	timeline.Event
+}
+
+// Execute implements flags.Commander.
+func (t *timelineCommand) Execute([]string) error {
+	query := timeline.Query{Request: t.Request, Object: t.Object}
+	if t.All == (query != timeline.Query{}) {
+		return exitWith(ExitUsage, errors.New("give --request or --object, or --all"))
+	}
+	var sources []timeline.Source
+	for _, name := range t.Args.Files {
+		file, err := os.Open(string(name))
+		if err != nil {
+			return errors.Wrap(err, "open a log")
+		}
+		defer file.Close()
+		sources = append(sources, timeline.Source{Name: string(name), Reader: file})
+	}
+	stats, err := timeline.Merge(sources, query, t.print)
+	if err != nil {
+		return err
+	}
+	t.printStats(stats)
+	return nil
+}
+
+func (t *timelineCommand) print(e timeline.Event) error {
+	at := core.Micros(e.HLC.WallMicros).Time()
+	if t.cli.json() {
+		// One line an event, so that the output can be read as a stream.
+		return writeJSONLine(t.cli.env.Stdout, timelineEvent{HLC: e.HLC.String(), Time: at, Event: e})
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s.%d %-5s %s: %s", at.Format("2006-01-02T15:04:05.000000"), e.HLC.Counter, e.Level, e.Process, e.Message)
+	for _, a := range e.Attrs {
+		fmt.Fprintf(&b, " %s=%s", a.Key, quoted(a.Value))
+	}
+	_, err := fmt.Fprintln(t.cli.env.Stdout, b.String())
+	return err
+}
+
+// quoted keeps a value on one line and free of control characters.
+func quoted(value string) string {
+	if value == "" || strings.ContainsFunc(value, func(r rune) bool { return r <= ' ' || r == '"' || r == 0x7f }) {
+		return fmt.Sprintf("%q", value)
+	}
+	return value
+}
+
+func (t *timelineCommand) printStats(stats timeline.Stats) {
+	w := t.cli.env.Stderr
+	fmt.Fprintf(w, "%d of %d lines shown, %d broken, %d out of order\n", stats.Matched, stats.Lines, stats.Broken, stats.OutOfOrder)
+	for _, p := range stats.Problems {
+		fmt.Fprintf(w, "%s:%d: %s\n", p.Source, p.Line, p.Message)
+	}
+}
+
+// KeygenRequest says what keys to make.
+type KeygenRequest struct {
+	// Dir receives the files and must not exist or be empty.
+	Dir   string
+	Hosts []KeygenHost
+	// Validity of the certificates.
+	Validity time.Duration
+}
+
+// KeygenHost is a host that gets a certificate.
+type KeygenHost struct {
+	Name      string
+	Addresses []netip.Addr
+}
+
+type keygenCommand struct {
+	cli      *cli
+	Out      flags.Filename `long:"out" value-name:"DIR" required:"yes" description:"directory for the files; it must not exist or be empty"`
+	Hosts    []string       `long:"host" value-name:"NAME=IP[,IP]" required:"yes" description:"host that gets a certificate; may be repeated"`
+	Validity time.Duration  `long:"validity" value-name:"DURATION" default:"720h" description:"validity of the certificates"`
+}
+
+// Execute implements flags.Commander.
+func (k *keygenCommand) Execute([]string) error {
+	if k.cli.env.Keygen == nil {
+		return errors.New("this build has no key generator")
+	}
+	request := KeygenRequest{Dir: string(k.Out), Validity: k.Validity}
+	for _, text := range k.Hosts {
+		host, err := parseHost(text)
+		if err != nil {
+			return exitWith(ExitUsage, err)
+		}
+		request.Hosts = append(request.Hosts, host)
+	}
+	if entries, err := os.ReadDir(request.Dir); err == nil && len(entries) > 0 {
+		return errors.Newf("%s is not empty; keys are not overwritten", request.Dir)
+	}
+	files, err := k.cli.env.Keygen(request)
+	if err != nil {
+		return errors.Wrap(err, "make keys")
+	}
+	if k.cli.json() {
+		return k.cli.printJSON(map[string][]string{"files": files})
+	}
+	for _, file := range files {
+		fmt.Fprintln(k.cli.env.Stdout, file)
+	}
+	return nil
+}
+
+func parseHost(text string) (KeygenHost, error) {
+	name, list, ok := strings.Cut(text, "=")
+	if !ok || !config.ValidName(name) {
+		return KeygenHost{}, errors.Newf("host %q must have the form NAME=IP[,IP]", text)
+	}
+	host := KeygenHost{Name: name}
+	for _, part := range strings.Split(list, ",") {
+		address, err := netip.ParseAddr(part)
+		if err != nil {
+			return KeygenHost{}, errors.Newf("host %q: %q is not an IP address", text, part)
+		}
+		host.Addresses = append(host.Addresses, address)
+	}
+	return host, nil
+}
+
+type hashKeyCommand struct{ cli *cli }
+
+// maxKeyBytes bounds a bearer key.
+const maxKeyBytes = 4 << 10
+
+// Execute implements flags.Commander.
+func (h *hashKeyCommand) Execute([]string) error {
+	line, err := bufio.NewReader(io.LimitReader(h.cli.env.Stdin, maxKeyBytes)).ReadString('\n')
+	if err != nil && err != io.EOF {
+		return errors.Wrap(err, "read the key")
+	}
+	key := strings.TrimRight(line, "\r\n")
+	if key == "" {
+		return exitWith(ExitUsage, errors.New("no key on standard input"))
+	}
+	if h.cli.json() {
+		return h.cli.printJSON(map[string]string{"keyHash": config.HashKey(key)})
+	}
+	fmt.Fprintln(h.cli.env.Stdout, config.HashKey(key))
+	return nil
+}
+
+type completionCommand struct {
+	cli  *cli
+	Args struct {
+		Shell string `positional-arg-name:"SHELL" description:"bash or zsh"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// The binary completes by itself when GO_FLAGS_COMPLETION is set.
+const (
+	bashCompletion = `_carobctl() {
+  local IFS=$'\n'
+  COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+}
+complete -o default -F _carobctl carobctl
+`
+	zshCompletion = "autoload -U bashcompinit && bashcompinit\n" + bashCompletion
+)
+
+// Execute implements flags.Commander.
+func (c *completionCommand) Execute([]string) error {
+	scripts := map[string]string{"bash": bashCompletion, "zsh": zshCompletion}
+	script, ok := scripts[c.Args.Shell]
+	if !ok {
+		return exitWith(ExitUsage, errors.Newf("no completion for %q; bash and zsh are supported", c.Args.Shell))
+	}
+	_, err := io.WriteString(c.cli.env.Stdout, script)
+	return err
+}
