Bound the test daemons' reads by their request in the carobctl sessions

Cause: one of five repeated runs hung until its time-out. The stand-in daemon read the configuration without a bound while the session's platform outage lasted, and closing its server waits for open requests. After: five runs under -race pass.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -36,15 +35,15 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, objects: platform.NewFake()}
 	for i := range 2 {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { b.status(w, i) }))
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.status(w, r, i) }))
 		t.Cleanup(server.Close)
 		b.admin = append(b.admin, strings.TrimPrefix(server.URL, "http://"))
 	}
 	return b
 }
 
-func (b *bench) status(w http.ResponseWriter, i int) {
-	snapshot, err := confstore.New(b.objects).Read(context.Background())
+func (b *bench) status(w http.ResponseWriter, r *http.Request, i int) {
+	snapshot, err := confstore.New(b.objects).Read(r.Context())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
