Add the controller's reducer: lease, placement and orders

Cause: orders need one holder with a fencing number, and engines that ignore the number must still converge. Ruled out: wall clock times in the lease, which two hosts read differently.

Before: no controller.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -99,6 +99,9 @@
 	Pool string `json:"pool,omitempty"`
 	// KVTokens is the KV memory of an engine, in tokens.
 	KVTokens int `json:"kvTokens,omitempty"`
+	// MaxModels is the number of models whose weights fit in an engine's memory at once; default 2, so that a new
+	// version can be loaded beside the old one.
+	MaxModels int `json:"maxModels,omitempty"`
 	// PrefillTokensPerSecond and DecodeTokensPerSecond (per stream) are an engine's nominal rates.
 	PrefillTokensPerSecond int `json:"prefillTokensPerSecond,omitempty"`
 	DecodeTokensPerSecond  int `json:"decodeTokensPerSecond,omitempty"`
--- /dev/null
+++ b/internal/placecore/core_test.go
@@ -0,0 +1,236 @@
+package placecore
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/golden"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var codec = golden.NewCodec(Tick{}, LeaseRead{}, LeaseWritten{}, IntentChanged{}, EngineReported{}, OrderDone{},
+	StopRequested{}, ReadLease{}, WriteLease{}, SendOrder{}, RoleChanged{})
+
+// Guards against any change of behaviour of the recorded sessions.
+func TestSessions(t *testing.T) {
+	golden.Check(t, "testdata/*.session", codec, func(string) func(any) []any {
+		c := New("host-a")
+		return func(event any) []any {
+			var out []any
+			for _, effect := range c.Step(event.(Event)) {
+				out = append(out, effect)
+			}
+			return out
+		}
+	})
+}
+
+// world is one lease store and a few controllers whose clocks run together but that may be paused.
+type world struct {
+	t       *rapid.T
+	now     core.Micros
+	version uint64
+	lease   Lease
+	cores   []*Core
+	paused  []core.Micros
+	ids     int
+	epochs  map[uint64]int
+}
+
+func (w *world) perform(i int, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case ReadLease:
+			failed := rapid.IntRange(0, 9).Draw(w.t, "read") == 0
+			w.perform(i, w.cores[i].Step(LeaseRead{Now: w.now, Version: w.version, Lease: w.lease, Failed: failed}))
+		case WriteLease:
+			w.perform(i, w.cores[i].Step(w.write(e)))
+		case RoleChanged:
+			if e.Active {
+				if holder, ok := w.epochs[e.Epoch]; ok && holder != i {
+					w.t.Fatalf("controllers %d and %d both hold epoch %d", holder, i, e.Epoch)
+				}
+				w.epochs[e.Epoch] = i
+			}
+		}
+	}
+}
+
+func (w *world) write(e WriteLease) LeaseWritten {
+	fault := rapid.IntRange(0, 9).Draw(w.t, "write")
+	if fault == 0 {
+		return LeaseWritten{Now: w.now, Result: WriteRejected}
+	}
+	if e.IfVersion != w.version {
+		return LeaseWritten{Now: w.now, Result: WriteConflict}
+	}
+	if fault == 1 {
+		return LeaseWritten{Now: w.now, Result: WriteUnknown}
+	}
+	w.version++
+	w.lease = e.Lease
+	if fault == 2 {
+		return LeaseWritten{Now: w.now, Result: WriteUnknown}
+	}
+	return LeaseWritten{Now: w.now, Version: w.version, Result: WriteOK}
+}
+
+// Guards against two controllers that act at the same time, with pauses, rejected writes and lost answers.
+func TestAtMostOneControllerActs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &world{t: rt, now: core.Second, epochs: map[uint64]int{}, paused: make([]core.Micros, 3)}
+		for i := range 3 {
+			w.cores = append(w.cores, New(fmt.Sprintf("host-%d", i)))
+		}
+		for range 150 {
+			w.now += core.Second
+			active := 0
+			for i, c := range w.cores {
+				if w.paused[i] > w.now {
+					continue
+				}
+				if rapid.IntRange(0, 40).Draw(rt, "pause") == 0 {
+					w.paused[i] = w.now + core.Micros(rapid.IntRange(1, 60).Draw(rt, "seconds"))*core.Second
+				}
+				w.ids++
+				w.perform(i, c.Step(Tick{Now: w.now, Candidate: true, AttemptID: fmt.Sprint(w.ids)}))
+			}
+			for _, c := range w.cores {
+				if c.Active(w.now) {
+					active++
+				}
+			}
+			if active > 1 {
+				rt.Fatalf("%d controllers are active at %d", active, w.now)
+			}
+		}
+	})
+}
+
+// harness drives one active controller.
+type harness struct {
+	t   *testing.T
+	c   *Core
+	now core.Micros
+}
+
+func newHarness(t *testing.T, intent Intent) *harness {
+	h := &harness{t: t, c: New("host-a"), now: core.Second}
+	h.c.Step(IntentChanged{Now: h.now, Intent: intent})
+	h.c.Step(Tick{Now: h.now, Candidate: true, AttemptID: "x"})
+	h.c.Step(LeaseRead{Now: h.now})
+	h.now += readEvery
+	effects := h.c.Step(Tick{Now: h.now, Candidate: true, AttemptID: "x"})
+	require.IsType(t, WriteLease{}, effects[0])
+	h.c.Step(LeaseWritten{Now: h.now, Version: 1, Result: WriteOK})
+	require.True(t, h.c.Active(h.now))
+	return h
+}
+
+func (h *harness) report(name string, state engine.State, models ...engine.LoadedModel) {
+	h.c.Step(EngineReported{Now: h.now, Engine: name, State: state, Models: models})
+}
+
+// tick advances a second, keeps the lease and returns the orders.
+func (h *harness) tick() []SendOrder {
+	h.now += core.Second
+	var out []SendOrder
+	for _, e := range h.c.Step(Tick{Now: h.now, Candidate: true, AttemptID: "x"}) {
+		switch e := e.(type) {
+		case WriteLease:
+			h.c.Step(LeaseWritten{Now: h.now, Version: e.IfVersion + 1, Result: WriteOK})
+		case SendOrder:
+			out = append(out, e)
+			h.c.Step(OrderDone{Now: h.now, Engine: e.Engine})
+		}
+	}
+	return out
+}
+
+func loaded(version string) engine.LoadedModel {
+	return engine.LoadedModel{Name: "m", Version: version}
+}
+
+func twoEngines(version string) Intent {
+	return Intent{
+		Generation: 1, LoadsPerMinute: 2, MaxConcurrentLoads: 1,
+		Models:  []Model{{Name: "m", Version: version, MinReplicas: 2}},
+		Engines: []Engine{{Name: "e1", Address: "1", MaxModels: 1}, {Name: "e2", Address: "2", MaxModels: 1}},
+	}
+}
+
+// Guards against loads beyond the weight store's concurrency.
+func TestLoadsOneAtATime(t *testing.T) {
+	h := newHarness(t, twoEngines("1"))
+	h.report("e1", engine.StateReady)
+	h.report("e2", engine.StateReady)
+	require.Len(t, h.tick(), 1)
+	h.report("e1", engine.StateLoading)
+	require.Empty(t, h.tick())
+	h.report("e1", engine.StateReady, loaded("1"))
+	orders := h.tick()
+	require.Len(t, orders, 1)
+	require.Equal(t, "e2", orders[0].Engine)
+	require.Equal(t, uint64(1), orders[0].Order.Fence)
+}
+
+// Guards against an upgrade that unloads every copy of a model before the new version serves.
+func TestUpgradeKeepsOneCopy(t *testing.T) {
+	h := newHarness(t, twoEngines("2"))
+	h.report("e1", engine.StateReady, loaded("1"))
+	h.report("e2", engine.StateReady, loaded("1"))
+	first := h.tick()
+	require.Len(t, first, 1)
+	require.Equal(t, engine.OrderUnload, first[0].Order.Op)
+	for range 15 {
+		h.report("e1", engine.StateReady, loaded("1")) // the report lags behind the order
+		h.report("e2", engine.StateReady, loaded("1"))
+		require.Empty(t, h.tick(), "the second copy must stay while the first engine's report is stale")
+	}
+}
+
+// Guards against orders decided from an order sent earlier instead of the engine's own report.
+func TestOldHoldersOrderIsCorrected(t *testing.T) {
+	h := newHarness(t, twoEngines("2"))
+	h.report("e1", engine.StateReady, loaded("2"))
+	h.report("e2", engine.StateReady, loaded("2"))
+	require.Empty(t, h.tick())
+	// A paused former controller makes an engine that ignores fencing numbers unload its copy.
+	h.report("e2", engine.StateReady)
+	orders := h.tick()
+	require.Len(t, orders, 1)
+	require.Equal(t, "e2", orders[0].Engine)
+	require.Equal(t, engine.OrderLoad, orders[0].Order.Op)
+}
+
+// Guards against a holder that goes on after an engine has seen a higher fencing number.
+func TestRefusedFenceEndsTenure(t *testing.T) {
+	h := newHarness(t, twoEngines("1"))
+	h.c.Step(OrderDone{Now: h.now, Engine: "e1", Refused: true})
+	require.False(t, h.c.Active(h.now))
+}
+
+// Guards against a successor that exceeds the weight store's rate together with its predecessor.
+func TestSuccessorWaitsForPredecessorsLoads(t *testing.T) {
+	c := New("host-b")
+	c.Step(IntentChanged{Now: 1, Intent: twoEngines("1")})
+	now := core.Second
+	c.Step(Tick{Now: now, Candidate: true, AttemptID: "b"})
+	c.Step(LeaseRead{Now: now, Version: 4, Lease: Lease{Holder: "", AttemptID: "a", Epoch: 7}})
+	now += readEvery
+	c.Step(Tick{Now: now, Candidate: true, AttemptID: "b"})
+	c.Step(LeaseWritten{Now: now, Version: 5, Result: WriteOK})
+	h := &harness{t: t, c: c, now: now}
+	for range 50 {
+		h.report("e1", engine.StateReady)
+		require.Empty(t, h.tick())
+	}
+	for range 9 {
+		require.Empty(t, h.tick())
+	}
+	h.report("e1", engine.StateReady)
+	require.NotEmpty(t, append(h.tick(), h.tick()...), "loads go on after a minute")
+}
