--- /dev/null
+++ b/internal/allocator/assign.go
@@ -0,0 +1,104 @@
+package allocator
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Daemon is a live daemon that may allocate pools.
+type Daemon struct {
+	Name          string
+	Region        string
+	FailureDomain string
+}
+
+// PoolPlace is a pool and where its engines are.
+type PoolPlace struct {
+	Name          string
+	Region        string
+	FailureDomain string
+}
+
+// Assign chooses the allocator of each pool by bounded rendezvous hashing: over the daemons of the pool's failure
+// domain, or over those of its region while the domain has none, with at most ceil(pools/daemons) pools a daemon. The
+// bound counts the pools of one failure domain at a time, so that the loss of one domain moves no pool of another. Pools
+// of a region without a daemon are left out. The result depends only on the sets given, not on their order.
+func Assign(pools []PoolPlace, daemons []Daemon) map[string]string {
+	out := make(map[string]string, len(pools))
+	byDomain, byRegion := groupDaemons(daemons)
+	for place, names := range groupPools(pools) {
+		candidates := byDomain[place]
+		if len(candidates) == 0 {
+			candidates = byRegion[place.region]
+		}
+		assignBounded(names, candidates, out)
+	}
+	return out
+}
+
+// place is a failure domain; domain names are unique only inside a region.
+type place struct{ region, domain string }
+
+func groupDaemons(daemons []Daemon) (byDomain map[place][]string, byRegion map[string][]string) {
+	byDomain, byRegion = map[place][]string{}, map[string][]string{}
+	for _, d := range daemons {
+		p := place{d.Region, d.FailureDomain}
+		byDomain[p] = append(byDomain[p], d.Name)
+		byRegion[d.Region] = append(byRegion[d.Region], d.Name)
+	}
+	return byDomain, byRegion
+}
+
+func groupPools(pools []PoolPlace) map[place][]string {
+	out := map[place][]string{}
+	for _, p := range pools {
+		key := place{p.Region, p.FailureDomain}
+		out[key] = append(out[key], p.Name)
+	}
+	return out
+}
+
+// pair is a pool with a candidate and its rendezvous score.
+type pair struct {
+	pool, daemon string
+	score        uint64
+}
+
+// assignBounded takes the pairs from the highest score down, wherever the pool is free and the daemon below its bound.
+// This is the stable matching of pools and daemons, so that one daemon's change displaces only short chains of pools.
+func assignBounded(pools, daemons []string, out map[string]string) {
+	if len(daemons) == 0 {
+		return
+	}
+	bound := (len(pools) + len(daemons) - 1) / len(daemons)
+	load := make(map[string]int, len(daemons))
+	for _, p := range rankedPairs(pools, daemons) {
+		if _, taken := out[p.pool]; taken || load[p.daemon] >= bound {
+			continue
+		}
+		out[p.pool] = p.daemon
+		load[p.daemon]++
+	}
+}
+
+func rankedPairs(pools, daemons []string) []pair {
+	pairs := make([]pair, 0, len(pools)*len(daemons))
+	for _, pool := range pools {
+		for _, daemon := range daemons {
+			pairs = append(pairs, pair{pool, daemon, xxhash.Sum64String(pool + "\x00" + daemon)})
+		}
+	}
+	sort.Slice(pairs, func(i, j int) bool { return pairs[i].before(pairs[j]) })
+	return pairs
+}
+
+func (p pair) before(q pair) bool {
+	if p.score != q.score {
+		return p.score > q.score
+	}
+	if p.daemon != q.daemon {
+		return p.daemon < q.daemon
+	}
+	return p.pool < q.pool
+}
