--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -93,9 +93,10 @@
 	load := e.Report.Load
 	out.Incarnation, out.State, out.Role = load.Incarnation, string(load.State), string(load.Role)
 	for _, m := range load.Models {
-		out.Models = append(out.Models, m.Name)
+		out.Models = append(out.Models, &carobstilev1.LoadedModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
 	}
 	out.KvTokensTotal, out.KvTokensUsed = uint64(load.KVTokensTotal), uint64(load.KVTokensUsed)
+	out.QueuedPrefillTokens = uint64(load.QueuedPrefillTokens)
 	out.ReportAgeMicros = int64(now - e.Report.Now)
 	return out
 }
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -159,3 +159,24 @@
 		*value = fallback
 	}
 }
+
+// Defaults of placement.
+const (
+	defaultModelSlots     = 2
+	defaultLoadsPerMinute = 6
+	defaultConcurrent     = 2
+)
+
+// ModelSlots returns the number of models whose weights fit in the engine's memory.
+func (s *BackendServer) ModelSlots() int {
+	slots := s.MaxModels
+	setDefault(&slots, defaultModelSlots)
+	return slots
+}
+
+// WithDefaults replaces zero values by defaults.
+func (w WeightStore) WithDefaults() WeightStore {
+	setDefault(&w.LoadsPerMinute, defaultLoadsPerMinute)
+	setDefault(&w.MaxConcurrentLoads, defaultConcurrent)
+	return w
+}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,99 @@
+// Package daemon wires the parts of carobgate, the daemon of every entry host: caller API, pool allocators, membership
+// and configuration dissemination.
+package daemon
+
+import (
+	"encoding/base64"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/findings"
+	"github.com/carobstile/carobstile/internal/peer"
+	"github.com/carobstile/carobstile/internal/settings"
+)
+
+// Settings of carobgate.
+type Settings struct {
+	// Name of the daemon, unique in the deployment. A replaced host gets a new name.
+	Name          string `json:"name"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	// CallerAddress serves callers, behind the platform's balancer.
+	CallerAddress string `json:"callerAddress"`
+	// AdminAddress serves health, metrics and status to operators.
+	AdminAddress string `json:"adminAddress"`
+	// PeerAddress serves other daemons, over TCP and UDP.
+	PeerAddress string `json:"peerAddress"`
+	// PlatformAddress is the platform's object API.
+	PlatformAddress string `json:"platformAddress"`
+	// Seeds are peer addresses of some other daemons, tried at the start.
+	Seeds []string `json:"seeds,omitempty"`
+	// ClusterKeys seal membership packets: 32 bytes each, in base64. The first seals and all open, so that a key can be
+	// replaced without an interruption.
+	ClusterKeys []string `json:"clusterKeys"`
+	// CursorKeys seal resume cursors, in the same form.
+	CursorKeys []string `json:"cursorKeys"`
+	// Credentials authenticate the daemon to other daemons.
+	Credentials peer.Credentials `json:"credentials"`
+	// StopGraceMs is how long a planned stop waits for open requests; default 300,000.
+	StopGraceMs int `json:"stopGraceMs,omitempty"`
+	// LameDuckMs is how long a stopping daemon still accepts requests after it has told the balancer that it is not
+	// ready; default 3,000.
+	LameDuckMs int `json:"lameDuckMs,omitempty"`
+	// PolicyOff names allocator rules that are switched off for measurement.
+	PolicyOff []string `json:"policyOff,omitempty"`
+}
+
+// Defaults and bounds of the settings.
+const (
+	defaultStopGraceMs = 300_000
+	defaultLameDuckMs  = 3_000
+	maxStopGraceMs     = 3_600_000
+	keyBytes           = 32
+)
+
+// ProcessName implements app.Named.
+func (s *Settings) ProcessName() string { return s.Name }
+
+// Check implements settings.Checker.
+func (s *Settings) Check(list *findings.List) {
+	settings.Required(list, "/name", s.Name)
+	settings.Required(list, "/region", s.Region)
+	settings.Required(list, "/failureDomain", s.FailureDomain)
+	settings.Address(list, "/callerAddress", s.CallerAddress)
+	settings.Address(list, "/adminAddress", s.AdminAddress)
+	settings.Address(list, "/peerAddress", s.PeerAddress)
+	settings.Address(list, "/platformAddress", s.PlatformAddress)
+	for i, seed := range s.Seeds {
+		settings.Address(list, findings.Index("/seeds", i), seed)
+	}
+	checkKeys(list, "/clusterKeys", s.ClusterKeys)
+	checkKeys(list, "/cursorKeys", s.CursorKeys)
+	if _, _, err := s.Credentials.TLS(); err != nil {
+		list.Add("/credentials", "%v", err)
+	}
+	settings.Range(list, "/stopGraceMs", s.StopGraceMs, 0, maxStopGraceMs)
+	settings.Range(list, "/lameDuckMs", s.LameDuckMs, 0, maxStopGraceMs)
+}
+
+func checkKeys(list *findings.List, pointer string, keys []string) {
+	if len(keys) == 0 {
+		list.Add(pointer, "must hold at least one key")
+	}
+	for i, key := range keys {
+		raw, err := base64.StdEncoding.DecodeString(key)
+		if err != nil || len(raw) != keyBytes {
+			list.Add(findings.Index(pointer, i), "expected %d bytes in base64", keyBytes)
+		}
+	}
+}
+
+func (s *Settings) stopGrace() time.Duration { return orDefault(s.StopGraceMs, defaultStopGraceMs) }
+
+func (s *Settings) lameDuck() time.Duration { return orDefault(s.LameDuckMs, defaultLameDuckMs) }
+
+func orDefault(ms, fallback int) time.Duration {
+	if ms == 0 {
+		ms = fallback
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 )
 
@@ -91,3 +92,6 @@
 	}
 	return a.Message < b.Message
 }
+
+// Index returns the JSON Pointer of an element of an array.
+func Index(pointer string, i int) string { return pointer + "/" + strconv.Itoa(i) }
