Add the membership shell on UDP and full exchanges

Cause: the reducer needs sockets, timers and the platform's host list. Timers are set under the lock that serialises the reducer, since a deadline set by an earlier step could otherwise replace a later one and a suspicion would never end. Ruled out: the wall clock as time of events, because a corrected clock looks like a pause; the shell starts at the wall clock and follows the monotonic one.

Before: no membership over sockets. After: with -race, 10 daemons on loopback detect a stopped one within 8 s, take in a restarted one and one under a new name at the same address, keep a leaving one, refuse a stranger, and pass on crash records and generations. Conclusion: the configuration shell can subscribe to it.

--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,365 @@
+// Package member is the shell of membercore: it performs the core's effects over UDP packets and the SyncMembers call,
+// and offers the daemon's view of the other daemons.
+package member
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/membercore"
+	"github.com/carobstile/carobstile/internal/peer"
+	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/shell"
+)
+
+// Times of the shell.
+const (
+	// syncTimeout bounds a full exchange.
+	syncTimeout = 3 * time.Second
+	// hostsInterval spares the platform: 360 daemons make 6 calls a second.
+	hostsInterval = 60 * time.Second
+	// lonelyHostsInterval applies while no other daemon is known.
+	lonelyHostsInterval = 5 * time.Second
+	hostsTimeout        = 2 * time.Second
+)
+
+// Transport sends and receives packets; *peer.UDP is the real one.
+type Transport interface {
+	Send(address string, packet *pb.Packet) error
+	Serve(handle func(packet *pb.Packet)) error
+	Close() error
+}
+
+// Syncer calls SyncMembers of another daemon; *peer.Pool is the real one.
+type Syncer interface {
+	SyncMembers(ctx context.Context, address string, req *pb.SyncMembersRequest) (*pb.SyncMembersResponse, error)
+}
+
+var (
+	_ Transport         = (*peer.UDP)(nil)
+	_ Syncer            = (*peer.Pool)(nil)
+	_ peer.MemberSource = (*Members)(nil)
+)
+
+// Options configure the membership of one daemon.
+type Options struct {
+	Name string
+	// Address is the daemon's peer address, an IP address and port that the other daemons reach over UDP and TCP.
+	Address       string
+	Region        string
+	FailureDomain string
+	// Seeds are peer addresses of other daemons, from settings.
+	Seeds []string
+	// Hosts lists further seeds, usually platform.Store.Hosts; nil means none.
+	Hosts func(ctx context.Context) ([]platform.Host, error)
+	// SkipHost excludes addresses of the host list that are not daemons, such as backend servers; nil excludes none.
+	SkipHost func(address string) bool
+	// Seed of the core's random choices.
+	Seed      uint64
+	Transport Transport
+	Peers     Syncer
+	Log       *slog.Logger
+	// Record, if not nil, is called with every event and its effects, in order, for golden sessions.
+	Record func(event membercore.Event, effects []membercore.Effect)
+}
+
+// Listener is told what membership learns. Nil functions are skipped. The functions are called without a lock held and
+// must not block; Changed may be called late, so it reads Members itself.
+type Listener struct {
+	// Changed: Members differs from before.
+	Changed func()
+	// Generation: the daemon at address from has a configuration of a higher generation.
+	Generation func(generation uint64, from string)
+	// Records: crash records of other daemons that were not known here.
+	Records func(records []membercore.Record)
+	// Joined: the first full exchange with another daemon is done.
+	Joined func()
+}
+
+// Members is the membership of one daemon.
+type Members struct {
+	options Options
+	clock   shell.Clock
+	timers  shell.Timers
+
+	mu   sync.Mutex
+	core *membercore.Core
+	// view caches Members; nil after a change.
+	view atomic.Pointer[[]membercore.Member]
+
+	listenersMu sync.Mutex
+	listeners   []Listener
+
+	background sync.WaitGroup
+	ctx        context.Context
+}
+
+// New returns the membership of a daemon, which takes part once Run is called.
+func New(options Options) *Members {
+	clock := shell.NewClock()
+	self := membercore.Member{
+		Name: options.Name, Address: options.Address, Region: options.Region, FailureDomain: options.FailureDomain,
+		Incarnation: uint64(clock.Now()),
+	}
+	return &Members{options: options, clock: clock, core: membercore.New(self, options.Seed), ctx: context.Background()}
+}
+
+// Subscribe adds a listener. Listeners are added before Run.
+func (m *Members) Subscribe(l Listener) {
+	m.listenersMu.Lock()
+	defer m.listenersMu.Unlock()
+	m.listeners = append(m.listeners, l)
+}
+
+// Run takes part in membership until ctx is done, then closes the transport.
+func (m *Members) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	served := make(chan error, 1)
+	go func() { served <- m.options.Transport.Serve(m.receive) }()
+	m.step(membercore.Started{Now: m.clock.Now(), Seeds: m.options.Seeds})
+	if m.options.Hosts != nil {
+		m.background.Go(func() { m.pollHosts(ctx) })
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+		err = errors.Wrap(err, "membership packets")
+	}
+	m.mu.Lock()
+	cancel()
+	m.mu.Unlock()
+	m.timers.Stop()
+	err = errors.CombineErrors(err, m.options.Transport.Close())
+	m.background.Wait()
+	return err
+}
+
+// Members returns all known members with this daemon, sorted by name. The slice must not be changed.
+func (m *Members) Members() []membercore.Member {
+	if view := m.view.Load(); view != nil {
+		return *view
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	view := m.core.Members()
+	m.view.Store(&view)
+	return view
+}
+
+// Self returns this daemon's own record.
+func (m *Members) Self() membercore.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Self()
+}
+
+// Leave tells the other daemons that this one takes no new work. It goes on answering until Run ends.
+func (m *Members) Leave() {
+	m.step(membercore.LeaveRequested{Now: m.clock.Now()})
+}
+
+// SetGeneration states the generation of the configuration in force here; all packets carry it.
+func (m *Members) SetGeneration(generation uint64) {
+	m.step(membercore.GenerationSet{Now: m.clock.Now(), Generation: generation})
+}
+
+// Hint sends the generation to the given addresses at once.
+func (m *Members) Hint(addresses []string) {
+	m.step(membercore.HintRequested{Now: m.clock.Now(), To: addresses})
+}
+
+// AddRecords disseminates crash records made by this daemon.
+func (m *Members) AddRecords(records []membercore.Record) {
+	m.step(membercore.RecordsAdded{Now: m.clock.Now(), Records: records})
+}
+
+// SyncMembers answers a full exchange.
+func (m *Members) SyncMembers(_ context.Context, req *pb.SyncMembersRequest) (*pb.SyncMembersResponse, error) {
+	effects := m.step(membercore.SyncRequested{Now: m.clock.Now(), Table: membercore.Table{
+		Members: membersFromProto(req.GetMembers()), Records: recordsFromProto(req.GetCrashRecords()),
+		Generation: req.GetGeneration(),
+	}})
+	for _, effect := range effects {
+		if reply, ok := effect.(membercore.ReplySync); ok {
+			return &pb.SyncMembersResponse{
+				Members: membersToProto(reply.Table.Members), CrashRecords: recordsToProto(reply.Table.Records),
+				Generation: reply.Table.Generation,
+			}, nil
+		}
+	}
+	return nil, errors.New("the membership table gave no answer")
+}
+
+func (m *Members) receive(packet *pb.Packet) {
+	p, ok := packetFromProto(packet)
+	if !ok {
+		return
+	}
+	m.step(membercore.PacketReceived{Now: m.clock.Now(), Packet: p})
+}
+
+// step runs the core, sets timers under its lock so that a later one wins, and performs the other effects after it.
+func (m *Members) step(event membercore.Event) []membercore.Effect {
+	m.mu.Lock()
+	effects := m.core.Step(event)
+	if m.options.Record != nil {
+		m.options.Record(event, effects)
+	}
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case membercore.SetTimer:
+			m.timers.Set(e.Key, e.At-m.clock.Now(), func() {
+				m.step(membercore.TimerFired{Now: m.clock.Now(), Key: e.Key})
+			})
+		case membercore.MemberChanged, membercore.MemberRemoved:
+			m.view.Store(nil)
+		}
+	}
+	ctx := m.ctx
+	m.mu.Unlock()
+	m.perform(ctx, effects)
+	return effects
+}
+
+func (m *Members) perform(ctx context.Context, effects []membercore.Effect) {
+	changed := false
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case membercore.SendPacket:
+			m.send(e)
+		case membercore.StartSync:
+			m.startSync(ctx, e)
+		case membercore.MemberChanged:
+			changed = true
+			m.logChange(e)
+		case membercore.MemberRemoved:
+			changed = true
+		case membercore.NameConflict:
+			m.options.Log.Error("another daemon runs under the name of this one", "name", e.Other.Name, "address", e.Other.Address)
+		case membercore.GenerationSeen:
+			m.notify(func(l Listener) {
+				if l.Generation != nil {
+					l.Generation(e.Generation, e.From)
+				}
+			})
+		case membercore.RecordsLearned:
+			m.notify(func(l Listener) {
+				if l.Records != nil {
+					l.Records(e.Records)
+				}
+			})
+		case membercore.Joined:
+			m.notify(func(l Listener) {
+				if l.Joined != nil {
+					l.Joined()
+				}
+			})
+		}
+	}
+	if changed {
+		m.notifyChanged()
+	}
+}
+
+func (m *Members) logChange(e membercore.MemberChanged) {
+	if e.Member.State == e.Previous {
+		return
+	}
+	m.options.Log.Info("member changed", "member", e.Member.Name, "address", e.Member.Address,
+		"state", string(e.Member.State), "previous", string(e.Previous), "incarnation", e.Member.Incarnation)
+}
+
+func (m *Members) notifyChanged() {
+	m.notify(func(l Listener) {
+		if l.Changed != nil {
+			l.Changed()
+		}
+	})
+}
+
+func (m *Members) notify(call func(Listener)) {
+	m.listenersMu.Lock()
+	listeners := m.listeners
+	m.listenersMu.Unlock()
+	for _, l := range listeners {
+		call(l)
+	}
+}
+
+func (m *Members) send(e membercore.SendPacket) {
+	if err := m.options.Transport.Send(e.To, packetToProto(e.Packet)); err != nil {
+		m.options.Log.Debug("packet not sent", "to", e.To, "error", err)
+	}
+}
+
+func (m *Members) startSync(ctx context.Context, e membercore.StartSync) {
+	// Under the lock, since Run cancels the context under it before it waits for the calls.
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	m.background.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+		defer cancel()
+		res, err := m.options.Peers.SyncMembers(ctx, e.To, &pb.SyncMembersRequest{
+			Members: membersToProto(e.Table.Members), CrashRecords: recordsToProto(e.Table.Records),
+			Generation: e.Table.Generation,
+		})
+		if err != nil {
+			m.options.Log.Debug("full exchange failed", "peer", e.To, "error", err)
+			return
+		}
+		m.step(membercore.SyncAnswered{Now: m.clock.Now(), Table: membercore.Table{
+			Members: membersFromProto(res.GetMembers()), Records: recordsFromProto(res.GetCrashRecords()),
+			Generation: res.GetGeneration(),
+		}})
+	})
+}
+
+// pollHosts adds the platform's host list to the seeds.
+func (m *Members) pollHosts(ctx context.Context) {
+	for {
+		m.addHosts(ctx)
+		interval := hostsInterval
+		if len(m.Members()) == 1 {
+			interval = lonelyHostsInterval
+		}
+		// The random part keeps daemons that start together from calling in step.
+		wait := interval/2 + rand.N(interval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (m *Members) addHosts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	hosts, err := m.options.Hosts(ctx)
+	if err != nil {
+		m.options.Log.Debug("host list not read", "error", err)
+		return
+	}
+	seeds := append([]string(nil), m.options.Seeds...)
+	for _, host := range hosts {
+		if host.State == platform.HostLive && (m.options.SkipHost == nil || !m.options.SkipHost(host.Address)) {
+			seeds = append(seeds, host.Address)
+		}
+	}
+	m.step(membercore.SeedsChanged{Now: m.clock.Now(), Seeds: seeds})
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,205 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/membercore"
+	"github.com/carobstile/carobstile/internal/peer"
+)
+
+// secrets are the cluster key and CA of a test cluster.
+type secrets struct {
+	key         string
+	credentials peer.Credentials
+}
+
+func newSecrets(t testing.TB) secrets {
+	t.Helper()
+	key, err := peer.NewKey()
+	require.NoError(t, err)
+	ca, err := peer.NewAuthority(time.Hour)
+	require.NoError(t, err)
+	credentials, err := ca.Issue("host", net.IPv4(127, 0, 0, 1))
+	require.NoError(t, err)
+	return secrets{key: key, credentials: credentials}
+}
+
+// daemon is the membership of one daemon on loopback sockets.
+type daemon struct {
+	*Members
+	address  string
+	udp      *peer.UDP
+	listener *countingListener
+	stop     func()
+}
+
+// countingListener counts the bytes of all accepted connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Uint64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{Conn: conn, bytes: &l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
+// listen binds TCP and UDP on one free port.
+func listen(t testing.TB, s secrets, address string, clock *evlog.Clock) (*countingListener, *peer.UDP) {
+	t.Helper()
+	sealer, err := peer.NewSealer([]string{s.key}, time.Now)
+	require.NoError(t, err)
+	for {
+		listener, err := net.Listen("tcp", address)
+		require.NoError(t, err)
+		udp, err := peer.ListenUDP(listener.Addr().String(), sealer, clock)
+		if err == nil {
+			return &countingListener{Listener: listener}, udp
+		}
+		require.NoError(t, listener.Close())
+	}
+}
+
+func startDaemon(t testing.TB, s secrets, name, address string, seeds ...string) *daemon {
+	t.Helper()
+	clock := evlog.NewClock(time.Now)
+	listener, udp := listen(t, s, address, clock)
+	pool, err := peer.NewPool(s.credentials, 0, clock)
+	require.NoError(t, err)
+	members := New(Options{
+		Name: name, Address: udp.Address(), Region: "svealand", FailureDomain: "sv-1", Seeds: seeds,
+		Seed: uint64(time.Now().UnixNano()), Transport: udp, Peers: pool, Log: evlog.Discard(),
+	})
+	server, err := peer.NewServer(s.credentials, peer.Handlers{Members: members}, clock)
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = members.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+		_ = server.Close()
+		pool.Close()
+	}
+	t.Cleanup(stop)
+	return &daemon{Members: members, address: udp.Address(), udp: udp, listener: listener, stop: stop}
+}
+
+func startDaemons(t testing.TB, s secrets, count int) []*daemon {
+	t.Helper()
+	out := []*daemon{startDaemon(t, s, "d000", "127.0.0.1:0")}
+	for i := 1; i < count; i++ {
+		out = append(out, startDaemon(t, s, fmt.Sprintf("d%03d", i), "127.0.0.1:0", out[0].address))
+	}
+	return out
+}
+
+func (d *daemon) inState(state membercore.State) int {
+	n := 0
+	for _, m := range d.Members.Members() {
+		if m.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+func agree(daemons []*daemon, state membercore.State, count int) bool {
+	for _, d := range daemons {
+		if d.inState(state) != count {
+			return false
+		}
+	}
+	return true
+}
+
+func requireAgreement(t testing.TB, daemons []*daemon, state membercore.State, count int, within time.Duration) {
+	t.Helper()
+	require.Eventually(t, func() bool { return agree(daemons, state, count) }, within, 20*time.Millisecond,
+		"%d members in state %s", count, state)
+}
+
+// Guards against slow detection over real sockets, and against a restarted daemon or one under a new name at the same
+// address that is not taken in.
+func TestDaemonsDetectStopAndRestart(t *testing.T) {
+	s := newSecrets(t)
+	daemons := startDaemons(t, s, 10)
+	requireAgreement(t, daemons, membercore.Alive, 10, 15*time.Second)
+	stopped, rest := daemons[4], daemons[5:]
+	stopped.stop()
+	requireAgreement(t, rest, membercore.Dead, 1, 8*time.Second)
+	requireAgreement(t, rest, membercore.Alive, 9, time.Second)
+	restarted := startDaemon(t, s, "d004", stopped.address, daemons[0].address)
+	rest = append(rest, restarted)
+	requireAgreement(t, rest, membercore.Alive, 10, 8*time.Second)
+	restarted.stop()
+	rest[len(rest)-1] = startDaemon(t, s, "d004b", stopped.address, daemons[0].address)
+	requireAgreement(t, rest, membercore.Alive, 10, 8*time.Second)
+}
+
+// Guards against a leaving daemon that goes on receiving work, or is taken for dead while it drains.
+func TestLeavingIsKnownAtOnce(t *testing.T) {
+	daemons := startDaemons(t, newSecrets(t), 8)
+	requireAgreement(t, daemons, membercore.Alive, 8, 15*time.Second)
+	daemons[3].Leave()
+	requireAgreement(t, daemons, membercore.Leaving, 1, 3*time.Second)
+	require.Never(t, func() bool { return !agree(daemons, membercore.Leaving, 1) }, 6*time.Second, 200*time.Millisecond)
+}
+
+// Guards against daemons of another cluster, with other keys and another CA, entering the membership.
+func TestStrangerIsNotTakenIn(t *testing.T) {
+	daemons := startDaemons(t, newSecrets(t), 3)
+	requireAgreement(t, daemons, membercore.Alive, 3, 10*time.Second)
+	stranger := startDaemon(t, newSecrets(t), "stranger", "127.0.0.1:0", daemons[0].address)
+	require.Never(t, func() bool {
+		return len(stranger.Members.Members()) > 1 || !agree(daemons, membercore.Alive, 3)
+	}, 4*time.Second, 100*time.Millisecond)
+}
+
+// Guards against crash records and generations that do not reach the other daemons within seconds.
+func TestRecordsAndGenerationSpread(t *testing.T) {
+	daemons := startDaemons(t, newSecrets(t), 8)
+	requireAgreement(t, daemons, membercore.Alive, 8, 15*time.Second)
+	var records, generations atomic.Int64
+	for _, d := range daemons[1:] {
+		d.Subscribe(Listener{
+			Records: func(r []membercore.Record) { records.Add(int64(len(r))) },
+			Generation: func(generation uint64, _ string) {
+				generations.Add(1)
+				d.SetGeneration(generation)
+			},
+		})
+	}
+	daemons[0].SetGeneration(5)
+	daemons[0].AddRecords([]membercore.Record{{Fingerprint: []byte("0123456789abcdef"), Engine: "e1/3", Made: daemons[0].clock.Now()}})
+	require.Eventually(t, func() bool { return records.Load() == 7 && generations.Load() >= 7 }, 4*time.Second, 10*time.Millisecond)
+}
--- a/internal/membercore/core.go
+++ b/internal/membercore/core.go
@@ -210,6 +210,7 @@
 	c.self.State = Leaving
 	c.self.Incarnation++
 	c.enqueue(c.self.Name)
+	c.emit(MemberChanged{Member: c.self, Previous: Alive})
 	c.hintSome()
 }
 
--- a/internal/membercore/table.go
+++ b/internal/membercore/table.go
@@ -50,6 +50,7 @@
 	}
 	c.self.Incarnation = m.Incarnation + 1
 	c.enqueue(c.self.Name)
+	c.emit(MemberChanged{Member: c.self, Previous: c.self.State})
 }
 
 // add lists an unknown member. Unknown dead members are not listed, since full exchanges would pass them on for ever.
--- a/internal/membercore/types.go
+++ b/internal/membercore/types.go
@@ -186,7 +186,7 @@
 	ReplySync struct {
 		Table Table `json:"table"`
 	}
-	// MemberChanged reports a new member or a change of a known one; Previous is empty for a new one.
+	// MemberChanged reports a new member or a change of a known one or of this daemon; Previous is empty for a new one.
 	MemberChanged struct {
 		Member   Member `json:"member"`
 		Previous State  `json:"previous,omitempty"`
