Add configuration adoption and dissemination

Cause: an accepted change has to be in force at all daemons within 3 s, also while the platform is out for some of them, and must never revert. The reducer decides who watches, from whom to read and when to adopt; the shell reads, checks hashes and builds the index. Ruled out: bootstrap reads of the platform by every starting daemon (360 x 258 reads), so only watchers read it at once and others wait 10 to 20 s; reads that block each other, so a slow platform does not hold up a fetch from a peer; keeping the chunks of an abandoned target, which would let the reducer count on a chunk that the cache has dropped.

Before: no configuration at a daemon. After, with -race: 12 daemons on loopback take changes within the test's 3 s, a daemon starts during an outage, stale reads, a slow platform and a document of a later format change nothing in force.

--- /dev/null
+++ b/internal/confsync/confsync_test.go
@@ -0,0 +1,219 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/confcore"
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/member"
+	"github.com/carobstile/carobstile/internal/peer"
+	"github.com/carobstile/carobstile/internal/platform"
+)
+
+type cluster struct {
+	key         string
+	credentials peer.Credentials
+	store       *memoryStore
+	daemons     []*daemon
+}
+
+// daemon is membership and configuration of one daemon on loopback sockets.
+type daemon struct {
+	*Sync
+	members *member.Members
+	address string
+	stop    func()
+}
+
+func newCluster(t testing.TB) *cluster {
+	t.Helper()
+	key, err := peer.NewKey()
+	require.NoError(t, err)
+	ca, err := peer.NewAuthority(time.Hour)
+	require.NoError(t, err)
+	credentials, err := ca.Issue("host", net.IPv4(127, 0, 0, 1))
+	require.NoError(t, err)
+	return &cluster{key: key, credentials: credentials, store: newMemoryStore()}
+}
+
+func (c *cluster) start(t testing.TB, count int) {
+	t.Helper()
+	for range count {
+		c.daemons = append(c.daemons, c.startDaemon(t, len(c.daemons)))
+	}
+}
+
+func (c *cluster) startDaemon(t testing.TB, n int) *daemon {
+	t.Helper()
+	clock := evlog.NewClock(time.Now)
+	sealer, err := peer.NewSealer([]string{c.key}, time.Now)
+	require.NoError(t, err)
+	listener, udp := listen(t, sealer, clock)
+	pool, err := peer.NewPool(c.credentials, 0, clock)
+	require.NoError(t, err)
+	self := confcore.Peer{
+		Name: fmt.Sprintf("d%03d", n), Address: udp.Address(), FailureDomain: fmt.Sprintf("pw-%d", n%6),
+	}
+	var seeds []string
+	if len(c.daemons) > 0 {
+		seeds = []string{c.daemons[0].address}
+	}
+	members := member.New(member.Options{
+		Name: self.Name, Address: self.Address, Region: "prairie-west", FailureDomain: self.FailureDomain, Seeds: seeds,
+		Seed: uint64(n), Transport: udp, Peers: pool, Log: evlog.Discard(),
+	})
+	configuration := New(Options{Self: self, Seed: uint64(n), Store: c.store, Peers: pool, Members: members, Log: evlog.Discard()})
+	server, err := peer.NewServer(c.credentials, peer.Handlers{Members: members, Config: configuration}, clock)
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = members.Run(ctx) })
+	running.Go(func() { _ = configuration.Run(ctx) })
+	stop := func() {
+		cancel()
+		running.Wait()
+		_ = server.Close()
+		pool.Close()
+	}
+	t.Cleanup(stop)
+	return &daemon{Sync: configuration, members: members, address: self.Address, stop: stop}
+}
+
+func listen(t testing.TB, sealer *peer.Sealer, clock *evlog.Clock) (net.Listener, *peer.UDP) {
+	t.Helper()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		udp, err := peer.ListenUDP(listener.Addr().String(), sealer, clock)
+		if err == nil {
+			return listener, udp
+		}
+		require.NoError(t, listener.Close())
+	}
+}
+
+func (d *daemon) generation() uint64 {
+	if index := d.Current(); index != nil {
+		return index.Generation
+	}
+	return 0
+}
+
+func (c *cluster) allAt(generation uint64) bool {
+	for _, d := range c.daemons {
+		if d.generation() != generation {
+			return false
+		}
+	}
+	return true
+}
+
+// requireAll waits until a generation is in force at all daemons and returns how long it took.
+func (c *cluster) requireAll(t testing.TB, generation uint64, within time.Duration) time.Duration {
+	t.Helper()
+	start := time.Now()
+	require.Eventually(t, func() bool { return c.allAt(generation) }, within, time.Millisecond)
+	return time.Since(start)
+}
+
+// Guards against a change that is not in force everywhere within 3 s, and against a daemon that misses its content.
+func TestChangeReachesAllDaemons(t *testing.T) {
+	c := newCluster(t)
+	c.store.apply(t, 1, document(200, 1))
+	c.start(t, 12)
+	c.requireAll(t, 1, 20*time.Second)
+	for generation := uint64(2); generation < 6; generation++ {
+		c.store.apply(t, generation, document(200, int(generation)))
+		c.requireAll(t, generation, 3*time.Second)
+	}
+	for _, d := range c.daemons {
+		w, ok := d.Current().Workspace("workspace-00000")
+		require.True(t, ok)
+		require.Equal(t, 5, w.Weight)
+		<-d.Ready()
+		d.cache.mu.RLock()
+		require.Len(t, d.cache.roots, 1)
+		require.Len(t, d.cache.chunks, len(d.cache.roots[5].hashes))
+		d.cache.mu.RUnlock()
+	}
+}
+
+// Guards against a daemon that cannot start while the platform is out although its peers have the configuration, and
+// against an outage or a stale read that changes what is in force.
+func TestPlatformOutage(t *testing.T) {
+	c := newCluster(t)
+	c.store.apply(t, 1, document(200, 1))
+	c.start(t, 3)
+	c.requireAll(t, 1, 10*time.Second)
+	stale := c.store.objects[platform.KindConfig+"/"+config.RootName]
+	c.store.apply(t, 2, document(200, 2))
+	c.requireAll(t, 2, 3*time.Second)
+	c.store.set(func() { c.store.out = true })
+	c.start(t, 1)
+	c.requireAll(t, 2, 5*time.Second)
+	select {
+	case <-c.daemons[3].Ready():
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the daemon that started during the outage is not ready")
+	}
+	c.store.set(func() { c.store.out, c.store.stale = false, &stale })
+	for _, d := range c.daemons {
+		d.pollRoot(t.Context())
+		require.Equal(t, uint64(2), d.generation())
+	}
+}
+
+// Guards against a slow platform that delays a change although a peer has it.
+func TestSlowPlatformDoesNotHoldUpPeers(t *testing.T) {
+	c := newCluster(t)
+	c.store.apply(t, 1, document(50, 1))
+	c.start(t, 4)
+	c.requireAll(t, 1, 10*time.Second)
+	c.store.set(func() { c.store.slow = 500 * time.Millisecond })
+	c.store.apply(t, 2, document(50, 2))
+	c.requireAll(t, 2, 3*time.Second)
+}
+
+// Guards against a document that this release cannot read coming into force, or blocking the next one.
+func TestUnreadableDocumentIsNotAdopted(t *testing.T) {
+	c := newCluster(t)
+	c.store.apply(t, 1, document(10, 1))
+	c.start(t, 2)
+	c.requireAll(t, 1, 10*time.Second)
+	future := document(10, 2)
+	future.FormatVersion = config.FormatVersion + 1
+	c.store.apply(t, 2, future)
+	time.Sleep(time.Second)
+	require.True(t, c.allAt(1))
+	c.store.apply(t, 3, document(10, 3))
+	c.requireAll(t, 3, 3*time.Second)
+}
+
+// Guards against an answer over 1 MiB when many chunks are asked for at once.
+func TestChunksComeInBoundedBatches(t *testing.T) {
+	s := newCache()
+	var hashes [][]byte
+	for i := range 10 {
+		chunk := make([]byte, config.MaxChunkBytes)
+		chunk[0] = byte(i)
+		hash := config.ChunkHash(chunk)
+		s.addChunk(hash, chunk)
+		hashes = append(hashes, []byte(nil))
+		_, err := fmt.Sscanf(hash, "%x", &hashes[i])
+		require.NoError(t, err)
+	}
+	total := 0
+	for _, chunk := range s.batch(hashes) {
+		total += len(chunk)
+	}
+	require.Equal(t, batchBytes, total)
+}
