Add the request reducer, resume cursors and the caller API of the gate

Cause: carobgate needs a data plane that admits requests, asks for grants, streams answers and forwards calls of plain services.

Ruled out: effects performed outside the reducer's lock in the order of goroutines, because tokens of two attempts could then swap; effects are queued under the lock and all input and output runs in goroutines without it. Random GCM nonces under one key, because 1.1 million cursors a second pass the bound of 2^32 messages within an hour; each stream derives its own key and counts.

Before: no data plane. After: internal/gatecore, internal/cursor and internal/gate with interfaces and fakes; streamed and whole answers run end to end over the fakes.

--- /dev/null
+++ b/internal/gate/chat.go
@@ -0,0 +1,146 @@
+package gate
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/gatecore"
+)
+
+// chat serves POST /v1/chat/completions.
+func (g *Gate) chat(w http.ResponseWriter, r *http.Request) {
+	arrived := g.now()
+	f, p := g.prepareChat(w, r, arrived)
+	if p != nil {
+		g.reject(w, p)
+		return
+	}
+	sink := g.newSink(w, f)
+	if sink == nil {
+		g.reject(w, notRun(gatecore.CodeBackendFailed, "no random source"))
+		return
+	}
+	g.admit(f, gatecore.RequestArrived{
+		Now: g.now(), Kind: gatecore.KindModel, Workspace: f.identity.workspace.Name,
+		MaxConcurrent: f.identity.workspace.MaxConcurrent, Deadline: f.deadline,
+		Suspects: g.opts.Crashes.Count(f.model.fingerprint), CrashLimit: f.identity.index.Limits.CrashLimit,
+		FirstAttempt: f.model.firstAttempt, Delivered: f.model.delivered, MaxTokens: f.model.maxTokens,
+	})
+	g.deliver(w, r, f, sink)
+}
+
+// prepareChat reads and checks a chat request.
+func (g *Gate) prepareChat(w http.ResponseWriter, r *http.Request, arrived core.Micros) (*flight, *problem) {
+	id, p := g.identify(r)
+	if p != nil {
+		return nil, p
+	}
+	deadline, p := deadlineOf(r, id.index.Limits, arrived)
+	if p != nil {
+		return nil, p
+	}
+	body, p := g.readBodyBefore(w, r, id.index.Limits.MaxBodyBytes, deadline)
+	if p != nil {
+		return nil, p
+	}
+	m, p := parseChat(id, body)
+	if p != nil {
+		return nil, p
+	}
+	m.created = int64(arrived / core.Second)
+	f := &flight{identity: id, model: m, deadline: deadline}
+	if p := g.identifyAnswer(f, r); p != nil {
+		return nil, p
+	}
+	return f, nil
+}
+
+// readBodyBefore reads a body and gives up at the request's deadline, so that a caller that sends slowly holds nothing
+// for longer.
+func (g *Gate) readBodyBefore(w http.ResponseWriter, r *http.Request, limit int, at core.Micros) ([]byte, *problem) {
+	rc := http.NewResponseController(w)
+	// Writers without deadlines (test recorders) have the body already.
+	_ = rc.SetReadDeadline(g.opts.Clock.Now().Add((at - g.now()).Duration()))
+	body, p := readBody(w, r, limit)
+	if p == nil {
+		_ = rc.SetReadDeadline(zeroTime)
+	}
+	return body, p
+}
+
+// identifyAnswer sets request id and seed: from the cursor of a resumed request, else new ones.
+func (g *Gate) identifyAnswer(f *flight, r *http.Request) *problem {
+	if text := r.Header.Get(headerLastEventID); text != "" {
+		return g.resume(f, text)
+	}
+	id, err := g.newID()
+	if err != nil {
+		return notRun(gatecore.CodeBackendFailed, "no random source")
+	}
+	f.requestID = id
+	if hasSeed(f.model.body) {
+		return nil
+	}
+	var seed [8]byte
+	if _, err := io.ReadFull(lockedReader{g}, seed[:]); err != nil {
+		return notRun(gatecore.CodeBackendFailed, "no random source")
+	}
+	f.model.seed = binary.LittleEndian.Uint64(seed[:])
+	return nil
+}
+
+// resume continues the answer that a cursor describes. What the former gate did is unknown unless the cursor opens, so
+// the refusal does not say that the request was not run.
+func (g *Gate) resume(f *flight, text string) *problem {
+	invalid := &problem{Failure: gatecore.Failure{
+		Code: gatecore.CodeCursorInvalid, Run: gatecore.RunUnknown,
+		Message: headerLastEventID + ": the cursor does not belong to this request or has expired",
+	}, param: headerLastEventID}
+	c, err := g.opts.Cursors.Open(text)
+	if err != nil {
+		return invalid
+	}
+	m := f.model
+	if err := c.Check(f.identity.caller.Name, m.bodyHash, g.now()); err != nil {
+		return invalid
+	}
+	if c.Model != m.name() || c.Version != m.version {
+		invalid.Run = gatecore.RunDone
+		invalid.Message = headerLastEventID + ": the model version of the answer is no longer served"
+		return invalid
+	}
+	f.requestID, f.deadline = c.RequestID, c.Deadline
+	m.seed, m.delivered, m.preferred = c.Seed, c.Delivered, c.Engine
+	m.firstAttempt = c.Attempt + gatecore.MaxAttemptNumbers
+	return nil
+}
+
+// modelEntry is one model of GET /v1/models.
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models serves GET /v1/models: the models and adapters that the caller may use, in the order of the configuration.
+func (g *Gate) models(w http.ResponseWriter, r *http.Request) {
+	id, p := g.identify(r)
+	if p != nil {
+		g.reject(w, p)
+		return
+	}
+	list := struct {
+		Object string       `json:"object"`
+		Data   []modelEntry `json:"data"`
+	}{Object: "list", Data: []modelEntry{}}
+	for _, name := range append(append([]string(nil), id.caller.Models...), id.caller.Adapters...) {
+		if (&modelRequest{}).setModel(id, name) == nil {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "carobstile"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // a caller that left needs no error
+}
--- /dev/null
+++ b/internal/gate/chat_test.go
@@ -0,0 +1,61 @@
+package gate
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a streamed answer that lacks tokens, cursors or its end.
+func TestStreamedAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	resp, body := f.chat(streamedBody)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "text/event-stream", resp.Header.Get("Content-Type"))
+	events := parseSSE(bytes.NewReader(body))
+	require.Equal(t, "0 1 2 3 4 ", textOf(events))
+	require.Equal(t, "[DONE]", events[len(events)-1].data)
+	for _, e := range events[:len(events)-1] {
+		require.NotEmpty(t, e.id)
+	}
+}
+
+// Guards against a whole answer that is returned in part or without usage.
+func TestWholeAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	resp, body := f.chat(wholeBody)
+	require.Equal(t, http.StatusOK, resp.StatusCode, string(body))
+	require.Contains(t, string(body), `"content":"0 1 2 3 4 "`)
+	require.Contains(t, string(body), `"completion_tokens":5`)
+}
+
+// Guards against requests with faults that reach the reducer, or get a wrong code.
+func TestFaultyRequestsAreRefused(t *testing.T) {
+	f := newFixture(t, func(f *fixture) { f.doc.Limits.MaxBodyBytes = 2048 })
+	cases := []struct {
+		name, body string
+		headers    []string
+		status     int
+		code       string
+	}{
+		{"malformed JSON", `{"model":`, nil, 400, "invalid_request"},
+		{"unknown model", `{"model":"m2","messages":[{"content":"x"}]}`, nil, 404, "model_not_found"},
+		{"no messages", `{"model":"m1"}`, nil, 400, "invalid_request"},
+		{"too many tokens asked", `{"model":"m1","max_tokens":99999,"messages":[{"content":"x"}]}`, nil, 400, "invalid_request"},
+		{"wrong key", wholeBody, []string{"Authorization", "Bearer wrong"}, 401, "unauthorized"},
+		{"deadline in the past", wholeBody, []string{headerDeadline, "0"}, 408, "deadline_passed"},
+		{"deadline not a number", wholeBody, []string{headerDeadline, "soon"}, 400, "invalid_request"},
+		{"body too large", `{"model":"` + strings.Repeat("x", 4096), nil, 413, "too_large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			resp, body := f.chat(c.body, c.headers...)
+			requireError(t, resp, body, c.status, c.code, "not_run")
+		})
+	}
+	calls, _ := f.engines.Calls()
+	require.Empty(t, calls)
+}
--- /dev/null
+++ b/internal/gate/forward.go
@@ -0,0 +1,325 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/gatecore"
+)
+
+// Bounds of connections to plain services.
+const (
+	dialTimeout         = time.Second
+	maxAnswerHeadBytes  = 64 << 10
+	maxRefusalBytes     = 64 << 10
+	idleConnsPerService = 16
+	idleConnTimeout     = 30 * time.Second
+)
+
+// hopByHop headers concern one connection only (RFC 9110, section 7.6.1) and are not forwarded.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd copies a header without hop-by-hop fields, those named by Connection included.
+func endToEnd(in http.Header) http.Header {
+	out := in.Clone()
+	for _, line := range in.Values("Connection") {
+		for _, name := range bytes.Split([]byte(line), []byte(",")) {
+			out.Del(string(bytes.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// forwardedHeader is what a backend server gets of a caller's header: never the bearer key, nor what only the gate
+// reads.
+func forwardedHeader(in http.Header) http.Header {
+	out := endToEnd(in)
+	for _, name := range []string{"Authorization", "Expect", "Content-Length", headerDeadline, headerLastEventID} {
+		out.Del(name)
+	}
+	if out.Get("User-Agent") == "" {
+		out["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return out
+}
+
+// newServiceTransport returns the transport of idempotent calls.
+func newServiceTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConnsPerService,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+	}
+}
+
+// onceTransport returns a transport for one call over an established connection. net/http sends a request with an
+// Idempotency-Key again when a reused connection breaks; here there is no reuse and no second connection.
+func onceTransport(conn net.Conn) *http.Transport {
+	var used sync.Once
+	return &http.Transport{
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			err := errors.New("a call that runs at most once has one connection")
+			used.Do(func() { err = nil })
+			if err != nil {
+				return nil, err
+			}
+			return conn, nil
+		},
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+	}
+}
+
+// runCall performs gatecore.CallService.
+func (g *Gate) runCall(f *flight, a *attempt, e gatecore.CallService) {
+	g.tally.attempt(gatecore.KindService)
+	ended := gatecore.ServiceEnded{Request: f.handle, Attempt: e.Attempt, Replayable: f.call.rest == nil}
+	if e.Once {
+		ended.Server, ended.Cause = g.callOnce(f, a, e)
+	} else {
+		ended.Server = e.Servers[0]
+		ended.Cause = g.callAgain(f, a, ended.Server, e.Attempt)
+	}
+	if ended.Cause != "" {
+		g.opts.Log.Info("call ended", evlog.KeyRequest, f.requestID, evlog.KeyAttempt, e.Attempt, "server", ended.Server,
+			"cause", ended.Cause)
+	}
+	ended.Now = g.now()
+	g.step(ended)
+}
+
+// callOnce connects to the first server that accepts and sends the call there, if its claim is still valid.
+func (g *Gate) callOnce(f *flight, a *attempt, e gatecore.CallService) (string, gatecore.Cause) {
+	for _, name := range e.Servers {
+		server, ok := f.identity.index.Server(name)
+		if !ok {
+			continue
+		}
+		dialer := net.Dialer{Timeout: dialTimeout}
+		conn, err := dialer.DialContext(a.ctx, "tcp", server.Address)
+		if err != nil {
+			g.route.refuse(name, g.now())
+			continue
+		}
+		// The claim window is by the wall clock and is checked after the last wait before the first byte.
+		if core.At(g.opts.Clock.Now()) >= e.ValidUntil {
+			_ = conn.Close() // unused
+			return name, gatecore.CauseClaimLapsed
+		}
+		transport := onceTransport(conn)
+		defer transport.CloseIdleConnections()
+		return name, g.exchange(f, a, server, transport, a.ctx)
+	}
+	return "", gatecore.CauseConnectFailed
+}
+
+// callAgain sends an idempotent call. An attempt that has a successor waits for the head of the answer only for half
+// of the time left, since an open connection can have gone silent while new ones work.
+func (g *Gate) callAgain(f *flight, a *attempt, name string, number int) gatecore.Cause {
+	server, ok := f.identity.index.Server(name)
+	if !ok {
+		return gatecore.CauseConnectFailed
+	}
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	defer cancel(nil)
+	wait := (f.deadline - g.now()).Duration() / 2
+	timer := time.AfterFunc(wait, func() {
+		select {
+		case <-a.forward:
+		default:
+			cancel(errSilent)
+		}
+	})
+	defer timer.Stop()
+	transport := g.services
+	if number > 1 {
+		transport = newServiceTransport() // a retry does not take a pooled connection
+		defer transport.CloseIdleConnections()
+	}
+	cause := g.exchange(f, a, server, transport, ctx)
+	switch {
+	case context.Cause(ctx) == errSilent && cause == gatecore.CauseLost:
+		cause = gatecore.CauseSilent
+	case cause == gatecore.CauseConnectFailed:
+		g.route.refuse(name, g.now())
+	}
+	return cause
+}
+
+var errSilent = errors.New("the backend server sent no answer in half of the time left")
+
+// exchange sends the call and hands the answer to the caller's goroutine.
+func (g *Gate) exchange(f *flight, a *attempt, server *config.BackendServer, transport http.RoundTripper, ctx context.Context) gatecore.Cause {
+	req, err := g.serviceRequest(ctx, f, server.Address)
+	if err != nil {
+		return gatecore.CauseConnectFailed
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return causeOfCall(f.call, err)
+	}
+	defer func() { _ = resp.Body.Close() }() // read to its end or given up
+	body, refused := refusal(resp, f.call.route.Idempotent || server.TrustworthyRefusals)
+	if refused {
+		return gatecore.CauseRefused
+	}
+	f.call.status, f.call.head = resp.StatusCode, endToEnd(resp.Header)
+	g.step(gatecore.ServiceAnswered{Now: g.now(), Request: f.handle, Attempt: a.number})
+	select {
+	case <-a.forward:
+	case <-ctx.Done():
+		return gatecore.CauseLost
+	}
+	return g.copyAnswer(f, ctx, body)
+}
+
+func (g *Gate) serviceRequest(ctx context.Context, f *flight, address string) (*http.Request, error) {
+	call := f.call
+	var body io.Reader = http.NoBody
+	switch {
+	case call.rest != nil:
+		body = io.MultiReader(bytes.NewReader(call.body), call.rest)
+	case len(call.body) > 0:
+		// The wrapper hides the reader's type, so that net/http sets no GetBody.
+		body = io.MultiReader(bytes.NewReader(call.body))
+	}
+	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+address+call.target, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build call")
+	}
+	req.Header = call.header.Clone()
+	req.Header.Set(engine.HeaderRequestID, f.requestID)
+	req.Header.Set(engine.HeaderDeadlineMs, strconv.FormatInt((f.deadline-g.now()).Duration().Milliseconds(), 10))
+	if body != http.NoBody {
+		req.ContentLength = call.length
+	}
+	return req, nil
+}
+
+func causeOfCall(call *serviceCall, err error) gatecore.Cause {
+	if call.rest != nil && call.rest.failed != nil {
+		return gatecore.CauseBody
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return gatecore.CauseConnectFailed
+	}
+	return gatecore.CauseLost
+}
+
+// refusal tells a typed refusal before any work from an answer. It returns the body with what was read put back.
+func refusal(resp *http.Response, honoured bool) (io.Reader, bool) {
+	if !honoured || resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
+		return resp.Body, false
+	}
+	start, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	var in struct {
+		Error struct {
+			Run gatecore.Run `json:"run"`
+		} `json:"error"`
+	}
+	if err == nil && json.Unmarshal(start, &in) == nil && in.Error.Run == gatecore.RunNot {
+		return nil, true
+	}
+	return io.MultiReader(bytes.NewReader(start), resp.Body), false
+}
+
+// copyAnswer hands the body to the caller's goroutine in chunks and keeps a copy for the claim. When the caller has
+// left, a call that runs at most once is still read to its end, for its outcome.
+func (g *Gate) copyAnswer(f *flight, ctx context.Context, body io.Reader) gatecore.Cause {
+	call := f.call
+	record := &ServiceOutcome{Status: call.status, Header: call.head}
+	bufs := [2][]byte{make([]byte, chunkBytes), make([]byte, chunkBytes)}
+	total := 0
+	for i := 0; ; i++ {
+		n, err := body.Read(bufs[i%2])
+		total += n
+		if total > call.limit {
+			return gatecore.CauseProtocol
+		}
+		if n > 0 {
+			record.keep(bufs[i%2][:n], !call.route.Idempotent)
+			select {
+			case call.chunks <- bufs[i%2][:n]:
+			case <-f.ctx.Done():
+			case <-ctx.Done():
+				return gatecore.CauseLost
+			}
+		}
+		if err == io.EOF {
+			call.record = record
+			return ""
+		}
+		if err != nil {
+			return gatecore.CauseLost
+		}
+	}
+}
+
+func (o *ServiceOutcome) keep(chunk []byte, wanted bool) {
+	switch {
+	case !wanted || o.Truncated:
+	case len(o.Body)+len(chunk) > recordBytes:
+		o.Body, o.Truncated = nil, true
+	default:
+		o.Body = append(o.Body, chunk...)
+	}
+}
+
+// refusingFor is how long a backend server that refused a connection is tried last.
+const refusingFor = 5 * core.Second
+
+// routeHealth remembers which backend servers of routes refused a connection.
+type routeHealth struct {
+	mu    sync.Mutex
+	until map[string]core.Micros
+	turn  int
+}
+
+func newRouteHealth() *routeHealth { return &routeHealth{until: map[string]core.Micros{}} }
+
+func (h *routeHealth) refuse(name string, now core.Micros) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.until[name] = now + refusingFor
+}
+
+func (h *routeHealth) isRefusing(name string, now core.Micros) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	until, ok := h.until[name]
+	if ok && now >= until {
+		delete(h.until, name)
+	}
+	return ok && now < until
+}
+
+// next returns a number that grows with each call.
+func (h *routeHealth) next() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.turn++
+	return h.turn
+}
--- /dev/null
+++ b/internal/gate/harness_test.go
@@ -0,0 +1,168 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/cursor"
+)
+
+const testKey = "sk-trust"
+
+// fixture is a gate with fakes behind a test server.
+type fixture struct {
+	t       *testing.T
+	doc     *config.Document
+	grants  *FakeGrants
+	engines *FakeEngines
+	claims  *FakeClaims
+	crashes *FakeCrashes
+	gate    *Gate
+	server  *httptest.Server
+}
+
+func testDocument() *config.Document {
+	return &config.Document{
+		FormatVersion: config.FormatVersion,
+		Callers:       []config.Caller{{Name: "trust", Priority: 5, Models: []string{"m1"}, Routes: []string{"status", "sign-off"}}},
+		Workspaces:    []config.Workspace{{Name: "w1", Caller: "trust", KeyHashes: []string{config.HashKey(testKey)}}},
+		Models:        []config.Model{{Name: "m1", Version: "1", MaxPromptTokens: 10_000}},
+	}
+}
+
+func newFixture(t *testing.T, change func(*fixture)) *fixture {
+	t.Helper()
+	f := &fixture{t: t, doc: testDocument(), claims: &FakeClaims{}, crashes: &FakeCrashes{}}
+	f.grants = &FakeGrants{Engines: []*pb.GrantedEngine{
+		{Name: "e1", Address: "127.0.0.1:1", Incarnation: "1"}, {Name: "e2", Address: "127.0.0.1:2", Incarnation: "1"},
+	}}
+	f.engines = &FakeEngines{Script: func(call EngineCall) ([]FakeStep, error) { return FakeAnswer(call, 5), nil }}
+	if change != nil {
+		change(f)
+	}
+	keys, err := cursor.NewKeyring([][]byte{bytes.Repeat([]byte{7}, cursor.KeyBytes)})
+	require.NoError(t, err)
+	index := config.NewIndex(1, f.doc)
+	f.gate = New(Options{
+		Config: func() *config.Index { return index }, Grants: f.grants, Engines: f.engines, Claims: f.claims,
+		Crashes: f.crashes, Cursors: keys,
+	})
+	f.server = httptest.NewServer(f.gate.Handler())
+	t.Cleanup(f.close)
+	return f
+}
+
+// close checks after every test that nothing is left open and every grant was released once.
+func (f *fixture) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(f.t, f.gate.Shutdown(ctx))
+	f.server.Close()
+	_, held, faults := f.grants.Released()
+	require.Zero(f.t, held, "grants still held")
+	require.Empty(f.t, faults)
+	require.Zero(f.t, f.gate.OpenStreams())
+}
+
+func (f *fixture) request(method, path, body string, headers ...string) *http.Request {
+	req, err := http.NewRequest(method, f.server.URL+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", bearerPrefix+testKey)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return req
+}
+
+func (f *fixture) do(req *http.Request) (*http.Response, []byte) {
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	return resp, body
+}
+
+func (f *fixture) chat(body string, headers ...string) (*http.Response, []byte) {
+	return f.do(f.request(http.MethodPost, "/v1/chat/completions", body, headers...))
+}
+
+const (
+	streamedBody = `{"model":"m1","stream":true,"messages":[{"role":"user","content":"tell me"}]}`
+	wholeBody    = `{"model":"m1","messages":[{"role":"user","content":"tell me"}]}`
+)
+
+// sse is one parsed event of a stream.
+type sse struct{ id, event, data string }
+
+func (e sse) text() string {
+	var chunk struct {
+		Choices []struct {
+			Delta struct{ Content string }
+		}
+	}
+	if json.Unmarshal([]byte(e.data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Delta.Content
+}
+
+func parseSSE(r io.Reader) []sse {
+	var out []sse
+	var e sse
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch {
+		case lines.Text() == "":
+			if e != (sse{}) {
+				out = append(out, e)
+			}
+			e = sse{}
+		case name == "id":
+			e.id = value
+		case name == "event":
+			e.event = value
+		case name == "data":
+			e.data = value
+		}
+	}
+	return out
+}
+
+func textOf(events []sse) string {
+	var b strings.Builder
+	for _, e := range events {
+		b.WriteString(e.text())
+	}
+	return b.String()
+}
+
+func requireError(t *testing.T, resp *http.Response, body []byte, status int, code, run string) {
+	t.Helper()
+	require.Equal(t, status, resp.StatusCode, string(body))
+	requireErrorBody(t, body, code, run)
+}
+
+func requireErrorBody(t *testing.T, body []byte, code, run string) {
+	t.Helper()
+	var in struct {
+		Error struct{ Message, Code, Run string }
+	}
+	require.NoError(t, json.Unmarshal(body, &in), string(body))
+	require.Equal(t, code, in.Error.Code, string(body))
+	require.Equal(t, run, in.Error.Run, string(body))
+	require.NotEmpty(t, in.Error.Message)
+}
--- /dev/null
+++ b/internal/gate/parse.go
@@ -0,0 +1,245 @@
+package gate
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/gatecore"
+)
+
+// Headers of the caller API.
+const (
+	headerDeadline       = "X-Carobstile-Deadline-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerLastEventID    = "Last-Event-ID"
+	bearerPrefix         = "Bearer "
+)
+
+// affinityBytes is the length of the prompt prefix whose hash orders pools.
+const affinityBytes = 1024
+
+// chatBody holds the fields of a chat request that the gate reads. Engines get the caller's body unchanged.
+type chatBody struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           *int          `json:"max_tokens"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	Seed                *int64        `json:"seed"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// modelRequest is a checked chat request.
+type modelRequest struct {
+	body        []byte
+	bodyHash    [sha256.Size]byte
+	fingerprint Fingerprint
+	stream      bool
+	model       *config.Model
+	adapter     string
+	// version names the versions of model and adapter; a resumed answer needs the same ones.
+	version      string
+	promptTokens int
+	prefixHashes []uint64
+	affinity     uint64
+	maxTokens    int
+	seed         uint64
+	created      int64
+	// Continued from a cursor: tokens delivered before, first attempt number and the engine that had the stream.
+	delivered    int
+	firstAttempt int
+	preferred    string
+}
+
+// name returns the model as callers name it.
+func (m *modelRequest) name() string {
+	if m.adapter == "" {
+		return m.model.Name
+	}
+	return m.model.Name + "/" + m.adapter
+}
+
+func bearer(r *http.Request) (string, bool) {
+	return strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+}
+
+// readBody reads a bounded body.
+func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *problem) {
+	if r.ContentLength > int64(limit) {
+		return nil, tooLarge(limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge(limit)
+	}
+	if err != nil {
+		return nil, notRun(gatecore.CodeInvalidRequest, "the request body broke off")
+	}
+	return body, nil
+}
+
+func tooLarge(limit int) *problem {
+	return notRun(gatecore.CodeTooLarge, fmt.Sprintf("the request body is over %d bytes", limit))
+}
+
+// parseChat decodes a body and checks it against the configuration.
+func parseChat(id identity, body []byte) (*modelRequest, *problem) {
+	var in chatBody
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, notRun(gatecore.CodeInvalidRequest, "the body is not a valid chat request: "+err.Error())
+	}
+	m := &modelRequest{body: body, bodyHash: sha256.Sum256(body), stream: in.Stream, firstAttempt: 1}
+	m.fingerprint = fingerprintOf(id.caller.Name, body)
+	if p := m.setModel(id, in.Model); p != nil {
+		return nil, p
+	}
+	if p := m.setPrompt(id, in.Messages); p != nil {
+		return nil, p
+	}
+	return m, m.setMaxTokens(id, in)
+}
+
+func (m *modelRequest) setModel(id identity, name string) *problem {
+	base, adapter, _ := strings.Cut(name, "/")
+	model, ok := id.index.Model(base)
+	allowed := ok && slices.Contains(id.caller.Models, base)
+	if adapter != "" {
+		allowed = allowed && slices.Contains(id.caller.Adapters, name)
+	}
+	if !allowed {
+		return notRun(gatecore.CodeModelNotFound, fmt.Sprintf("model %q is not offered to the caller", name)).at("model")
+	}
+	m.model, m.adapter, m.version = model, adapter, model.Version
+	if adapter == "" {
+		return nil
+	}
+	at := slices.IndexFunc(model.Adapters, func(a config.Adapter) bool { return a.Name == adapter })
+	if at < 0 {
+		return notRun(gatecore.CodeModelNotFound, fmt.Sprintf("model %q has no such adapter", name)).at("model")
+	}
+	m.version += "/" + model.Adapters[at].Version
+	return nil
+}
+
+func (m *modelRequest) setPrompt(id identity, messages []chatMessage) *problem {
+	if len(messages) == 0 {
+		return notRun(gatecore.CodeInvalidRequest, "messages: expected at least one").at("messages")
+	}
+	prompt := promptText(messages)
+	m.promptTokens = engine.PromptTokens(len(prompt))
+	limit := m.model.MaxPromptTokens
+	if w := id.workspace.MaxPromptTokens; w > 0 && (limit == 0 || w < limit) {
+		limit = w
+	}
+	if limit > 0 && m.promptTokens > limit {
+		message := fmt.Sprintf("the prompt has %d tokens, at most %d are allowed", m.promptTokens, limit)
+		return notRun(gatecore.CodeTooLarge, message).at("messages")
+	}
+	m.prefixHashes = PrefixHashes(prompt)
+	m.affinity = xxhash.Sum64String(prompt[:min(len(prompt), affinityBytes)])
+	return nil
+}
+
+func (m *modelRequest) setMaxTokens(id identity, in chatBody) *problem {
+	m.maxTokens = id.index.Limits.MaxOutputTokens
+	asked := in.MaxTokens
+	if in.MaxCompletionTokens != nil {
+		asked = in.MaxCompletionTokens
+	}
+	if in.Seed != nil {
+		m.seed = uint64(*in.Seed)
+	}
+	if asked == nil {
+		return nil
+	}
+	if *asked < 1 || *asked > m.maxTokens {
+		message := fmt.Sprintf("max_tokens: expected 1 to %d, got %d", m.maxTokens, *asked)
+		return notRun(gatecore.CodeInvalidRequest, message).at("max_tokens")
+	}
+	m.maxTokens = *asked
+	return nil
+}
+
+// hasSeed is true when the caller's body names a seed.
+func hasSeed(body []byte) bool {
+	var in struct {
+		Seed *int64 `json:"seed"`
+	}
+	return json.Unmarshal(body, &in) == nil && in.Seed != nil
+}
+
+func promptText(messages []chatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+// PrefixHashes returns the chained hashes of the prompt's full blocks of engine.PrefixBlockTokens tokens: the first is
+// the xxhash of block 0, each further one that of the former hash (8 bytes, little endian) followed by its block.
+func PrefixHashes(prompt string) []uint64 {
+	const blockBytes = engine.PrefixBlockTokens * engine.BytesPerToken
+	hashes := make([]uint64, 0, len(prompt)/blockBytes)
+	digest := xxhash.New()
+	var former [8]byte
+	for ; len(prompt) >= blockBytes; prompt = prompt[blockBytes:] {
+		digest.Reset()
+		if n := len(hashes); n > 0 {
+			binary.LittleEndian.PutUint64(former[:], hashes[n-1])
+			_, _ = digest.Write(former[:]) // never fails
+		}
+		_, _ = digest.WriteString(prompt[:blockBytes])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
+
+// fingerprintOf hashes caller and body, with the caller's length before them so that no two pairs share an input.
+func fingerprintOf(caller string, body []byte) (f Fingerprint) {
+	h := sha256.New()
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(caller)))
+	h.Write(length[:])
+	h.Write([]byte(caller))
+	h.Write(body)
+	copy(f[:], h.Sum(nil))
+	return f
+}
+
+// deadlineOf returns the deadline of a request that arrived at now.
+func deadlineOf(r *http.Request, limits config.Limits, now core.Micros) (core.Micros, *problem) {
+	ms := int64(limits.DefaultDeadlineMs)
+	if text := r.Header.Get(headerDeadline); text != "" {
+		asked, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			message := headerDeadline + ": expected milliseconds from arrival"
+			return 0, notRun(gatecore.CodeInvalidRequest, message).at(headerDeadline)
+		}
+		if asked <= 0 {
+			return 0, notRun(gatecore.CodeDeadlinePassed, "the deadline had passed on arrival")
+		}
+		ms = asked
+	}
+	ms = min(ms, int64(limits.MaxDeadlineMs))
+	return now + core.Span(time.Duration(ms)*time.Millisecond), nil
+}
