--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -81,7 +81,7 @@
 		return notRun(gatecore.CodeBackendFailed, "no random source")
 	}
 	f.requestID = id
-	if hasSeed(f.model.body) {
+	if f.model.seedGiven {
 		return nil
 	}
 	var seed [8]byte
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -44,6 +44,8 @@
 	cancel context.CancelFunc
 	// forward is closed when the answer of a plain service may be copied to the caller.
 	forward chan struct{}
+	// silence cancels a call on a pooled connection that gets no answer.
+	silence Timer
 
 	engine      string
 	address     string
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
@@ -100,7 +101,7 @@
 		ended.Server, ended.Cause = g.callOnce(f, a, e)
 	} else {
 		ended.Server = e.Servers[0]
-		ended.Cause = g.callAgain(f, a, ended.Server, e.Attempt)
+		ended.Cause = g.callAgain(f, a, e)
 	}
 	if ended.Cause != "" {
 		g.opts.Log.Info("call ended", evlog.KeyRequest, f.requestID, evlog.KeyAttempt, e.Attempt, "server", ended.Server,
@@ -135,41 +136,34 @@
 	return "", gatecore.CauseConnectFailed
 }
 
-// callAgain sends an idempotent call. An attempt that has a successor waits for the head of the answer only for half
-// of the time left, since an open connection can have gone silent while new ones work.
-func (g *Gate) callAgain(f *flight, a *attempt, name string, number int) gatecore.Cause {
+// callAgain sends an idempotent call. A pooled connection can have gone silent while new ones work: only a first
+// attempt that another server can follow takes one, and it waits for the head of the answer for half of the time left.
+func (g *Gate) callAgain(f *flight, a *attempt, e gatecore.CallService) gatecore.Cause {
+	name := e.Servers[0]
 	server, ok := f.identity.index.Server(name)
 	if !ok {
 		return gatecore.CauseConnectFailed
 	}
-	ctx, cancel := context.WithCancelCause(a.ctx)
-	defer cancel(nil)
-	wait := (f.deadline - g.now()).Duration() / 2
-	timer := time.AfterFunc(wait, func() {
-		select {
-		case <-a.forward:
-		default:
-			cancel(errSilent)
-		}
-	})
-	defer timer.Stop()
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
 	transport := g.services
-	if number > 1 {
-		transport = newServiceTransport() // a retry does not take a pooled connection
-		defer transport.CloseIdleConnections()
+	if pooled := e.HasNext && e.Attempt == 1; pooled {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+			if c.Reused {
+				a.silence = g.opts.Clock.AfterFunc((f.deadline-g.now()).Duration()/2, cancel)
+			}
+		}})
+	} else {
+		transport = newServiceTransport()
+		transport.DisableKeepAlives = true
 	}
 	cause := g.exchange(f, a, server, transport, ctx)
-	switch {
-	case context.Cause(ctx) == errSilent && cause == gatecore.CauseLost:
-		cause = gatecore.CauseSilent
-	case cause == gatecore.CauseConnectFailed:
+	if cause == gatecore.CauseConnectFailed {
 		g.route.refuse(name, g.now())
 	}
 	return cause
 }
 
-var errSilent = errors.New("the backend server sent no answer in half of the time left")
-
 // exchange sends the call and hands the answer to the caller's goroutine.
 func (g *Gate) exchange(f *flight, a *attempt, server *config.BackendServer, transport http.RoundTripper, ctx context.Context) gatecore.Cause {
 	req, err := g.serviceRequest(ctx, f, server.Address)
@@ -181,6 +175,9 @@
 		return causeOfCall(f.call, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // read to its end or given up
+	if a.silence != nil && !a.silence.Stop() {
+		return gatecore.CauseLost // cancelled while the head arrived
+	}
 	body, refused := refusal(resp, f.call.route.Idempotent || server.TrustworthyRefusals)
 	if refused {
 		return gatecore.CauseRefused
--- a/internal/gate/parse.go
+++ b/internal/gate/parse.go
@@ -62,6 +62,7 @@
 	affinity     uint64
 	maxTokens    int
 	seed         uint64
+	seedGiven    bool
 	created      int64
 	// Continued from a cursor: tokens delivered before, first attempt number and the engine that had the stream.
 	delivered    int
@@ -166,7 +167,7 @@
 		asked = in.MaxCompletionTokens
 	}
 	if in.Seed != nil {
-		m.seed = uint64(*in.Seed)
+		m.seed, m.seedGiven = uint64(*in.Seed), true
 	}
 	if asked == nil {
 		return nil
@@ -179,14 +180,6 @@
 	return nil
 }
 
-// hasSeed is true when the caller's body names a seed.
-func hasSeed(body []byte) bool {
-	var in struct {
-		Seed *int64 `json:"seed"`
-	}
-	return json.Unmarshal(body, &in) == nil && in.Seed != nil
-}
-
 func promptText(messages []chatMessage) string {
 	var b strings.Builder
 	for _, m := range messages {
--- /dev/null
+++ b/internal/gatecore/bench_test.go
@@ -0,0 +1,40 @@
+package gatecore
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
+
+// BenchmarkFrame measures one token of one of many open streams; the cost must not grow with their number.
+func BenchmarkFrame(b *testing.B) {
+	for _, open := range []int{1, 100, 10_000} {
+		b.Run(fmt.Sprintf("open=%d", open), func(b *testing.B) {
+			c := New()
+			for h := range open {
+				c.Step(RequestArrived{Request: Handle(h), Kind: KindModel, Workspace: "w", Deadline: core.Hour, FirstAttempt: 1})
+				c.Step(GrantResult{Request: Handle(h), Attempt: 1, GrantID: "g", Engine: "e"})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				c.Step(Frame{Request: Handle(i % open), Attempt: 1, Offset: i / open, Text: "word "})
+			}
+		})
+	}
+}
+
+// BenchmarkRequest measures the life of a request with an answer of one token.
+func BenchmarkRequest(b *testing.B) {
+	c := New()
+	b.ReportAllocs()
+	for i := range b.N {
+		h := Handle(i)
+		c.Step(RequestArrived{Request: h, Kind: KindModel, Workspace: "w", Deadline: core.Hour, FirstAttempt: 1})
+		c.Step(GrantResult{Request: h, Attempt: 1, GrantID: "g", Engine: "e"})
+		c.Step(StreamOpened{Request: h, Attempt: 1})
+		c.Step(Frame{Request: h, Attempt: 1, Text: "word", Finish: "stop"})
+		c.Step(AnswerWritten{Request: h})
+	}
+}
--- a/internal/gatecore/core.go
+++ b/internal/gatecore/core.go
@@ -59,7 +59,9 @@
 	incarnation string
 	trustworthy bool
 	excluded    []string
-	preferred   string
+	// held is the attempt whose stream the preferred engine may still hold for resumption; 0 when there is none.
+	preferred string
+	held      int
 
 	claimPending bool
 	claimHeld    bool
@@ -257,6 +259,7 @@
 	if r.attempting() {
 		c.cancelAttempt(r)
 	}
+	c.cancelHeld(r)
 	c.releaseGrant(r, OutcomeCancelled)
 	c.releaseClaim(r)
 	r.stage = stageEnded
@@ -283,6 +286,15 @@
 	})
 }
 
+// cancelHeld ends the former attempt that an engine may still hold, once no attempt can resume it there.
+func (c *Core) cancelHeld(r *request) {
+	if r.held == 0 {
+		return
+	}
+	c.emit(CancelStream{Request: r.arrived.Request, Attempt: r.held, AtEngine: true})
+	r.held = 0
+}
+
 func (c *Core) releaseGrant(r *request, outcome Outcome) {
 	if r.grantID == "" {
 		return
--- a/internal/gatecore/effects.go
+++ b/internal/gatecore/effects.go
@@ -146,12 +146,13 @@
 }
 
 // CallService sends a plain service's call. With Once, the shell connects to the first of Servers that accepts a
-// connection and sends the call there once; otherwise there is one server.
+// connection and sends the call there once; otherwise there is one server, and HasNext says that another one follows.
 type CallService struct {
 	Request Handle
 	Attempt int
 	Servers []string
 	Once    bool `json:",omitempty"`
+	HasNext bool `json:",omitempty"`
 	// ValidUntil ends the window of the claim of a call that is sent once.
 	ValidUntil core.Micros `json:",omitempty"`
 }
--- a/internal/gatecore/model.go
+++ b/internal/gatecore/model.go
@@ -46,6 +46,11 @@
 	r.stage = stageDispatched
 	r.attemptRun = RunUnknown
 	r.lastByte = c.now
+	r.blocked = false
+	if r.engine != r.preferred {
+		c.cancelHeld(r)
+	}
+	r.held = 0 // an attempt at the same engine replaces the former one there
 	h := r.arrived.Request
 	c.emit(OpenStream{Request: h, Attempt: r.attempt, GrantID: r.grantID, ResumeFrom: r.next})
 	c.emit(SetTimer{Request: h, Kind: TimerSilence, At: c.now + silenceTimeout})
@@ -74,12 +79,12 @@
 	c.fail(r, code, message)
 }
 
-// askLater asks again after a pause when an earlier attempt has run and the refusal can pass.
+// askLater asks again after a pause when an earlier attempt may have run and the refusal can pass.
 func (c *Core) askLater(r *request, refusal RefusalCode) bool {
 	if refusal == RefusalTooLarge || refusal == RefusalCrashesServers {
 		return false
 	}
-	if r.run != RunDone || r.reasks >= maxReasks {
+	if r.run == RunNot || r.reasks >= maxReasks {
 		return false
 	}
 	at := c.now + reaskDelayMin<<r.reasks
@@ -155,7 +160,7 @@
 		c.emit(SetTimer{Request: r.arrived.Request, Kind: TimerSilence, At: at})
 		return
 	}
-	c.cancelAttempt(r)
+	c.emit(CancelStream{Request: r.arrived.Request, Attempt: r.attempt})
 	c.attemptEnded(r, CauseSilent)
 }
 
@@ -188,6 +193,7 @@
 func (c *Core) attemptEnded(r *request, cause Cause) {
 	r.stage = stageWaiting
 	c.releaseGrant(r, outcomeOfCause[cause])
+	r.avoid(cause)
 	c.settleEvidence(r, cause, r.trustworthy)
 	if cause == CauseCrashed {
 		r.suspects++
@@ -197,7 +203,6 @@
 		c.failAttempts(r, code, message)
 		return
 	}
-	r.avoid(cause)
 	r.attempt++
 	c.ask(r)
 }
@@ -270,7 +275,7 @@
 	r.preferred = ""
 	switch cause {
 	case CauseLost, CauseSilent:
-		r.preferred = r.engine
+		r.preferred, r.held = r.engine, r.attempt
 	case CauseRefused, CauseConnectFailed, CauseFailed, CauseProtocol:
 		r.excluded = append(r.excluded, r.engine)
 	}
--- a/internal/gatecore/service.go
+++ b/internal/gatecore/service.go
@@ -38,6 +38,7 @@
 	call := CallService{Request: r.arrived.Request, Attempt: r.attempt, ValidUntil: r.validUntil}
 	if r.arrived.Idempotent {
 		call.Servers = []string{r.arrived.Servers[r.tries].Name}
+		call.HasNext = r.tries+1 < min(maxAttempts, len(r.arrived.Servers))
 	} else {
 		call.Once = true
 		for _, s := range r.arrived.Servers {
