--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -23,8 +23,9 @@
 	repairTime = 60 * time.Second
 )
 
-// MaxOutcomeBytes is the largest answer that a claim keeps for repeats of its request.
-const MaxOutcomeBytes = 256 << 10
+// MaxOutcomeBytes is the largest answer that a claim keeps for repeats of its request. In base64, within the claim, it
+// fits the platform's 1 MiB.
+const MaxOutcomeBytes = 720 << 10
 
 // State is the state of a claim.
 type State string
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -69,6 +69,12 @@
 // AttemptID names the attempt that owns the claim.
 func (h *Handle) AttemptID() string { return h.record.AttemptID }
 
+// Name returns the object name of the claim.
+func (h *Handle) Name() string { return h.name }
+
+// ValidUntil ends the window of dispatch, by the wall clock.
+func (h *Handle) ValidUntil() time.Time { return h.record.CreatedAtMicros.Time().Add(DispatchWindow) }
+
 // MayDispatch reports whether the claim still allows dispatch. It must be asked directly before the dispatch, with the
 // wall clock: a monotonic clock may stand still while the host is suspended.
 func (h *Handle) MayDispatch(now time.Time) bool {
--- /dev/null
+++ b/internal/daemon/crashes.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/crashes"
+	"github.com/carobstile/carobstile/internal/gate"
+	"github.com/carobstile/carobstile/internal/member"
+	"github.com/carobstile/carobstile/internal/membercore"
+	"github.com/carobstile/carobstile/internal/platform"
+)
+
+const (
+	verdictRetry   = 5 * time.Second
+	verdictTimeout = 60 * time.Second
+)
+
+// verdict is the stored form of a fingerprint that reached the crash limit.
+type verdict struct {
+	MadeMicros core.Micros `json:"madeMicros"`
+}
+
+// crashBook keeps the crash records of this daemon, disseminates its own and stores verdicts.
+type crashBook struct {
+	set     *crashes.Set
+	members *member.Members
+	store   platform.Store
+	current func() *config.Index
+	log     *slog.Logger
+}
+
+func now() core.Micros { return core.At(time.Now()) }
+
+// Count implements gate.Crashes.
+func (b *crashBook) Count(f gate.Fingerprint) int {
+	at, fingerprint := now(), crashes.Fingerprint(f[:])
+	count := b.set.Count(at, fingerprint)
+	if b.set.Refused(at, fingerprint) {
+		return max(count, b.limit())
+	}
+	return count
+}
+
+func (b *crashBook) limit() int {
+	if index := b.current(); index != nil {
+		return index.Limits.CrashLimit
+	}
+	return config.Limits{}.WithDefaults().CrashLimit
+}
+
+// Report implements gate.Crashes.
+func (b *crashBook) Report(f gate.Fingerprint, engine, incarnation string) {
+	record := crashes.Record{Fingerprint: crashes.Fingerprint(f[:]), Incarnation: incarnation, Made: now()}
+	change := b.set.Add(record.Made, record)
+	for _, r := range change.New {
+		b.log.Warn("request crashed an engine", "fingerprint", hex.EncodeToString(f[:]), "engine", engine,
+			"incarnation", incarnation)
+		b.members.AddRecords([]membercore.Record{{Fingerprint: f[:], Engine: r.Incarnation, Made: r.Made}})
+	}
+	for _, reached := range change.Reached {
+		b.log.Warn("request refused from now on", "fingerprint", hex.EncodeToString([]byte(reached)))
+		go b.storeVerdict(reached, record.Made)
+	}
+}
+
+// learned takes in records of other daemons.
+func (b *crashBook) learned(records []membercore.Record) {
+	for _, r := range records {
+		b.set.Add(now(), crashes.Record{Fingerprint: crashes.Fingerprint(r.Fingerprint), Incarnation: r.Engine, Made: r.Made})
+	}
+}
+
+// storeVerdict writes a verdict, so that daemons that start later know it. Writing it twice does no harm.
+func (b *crashBook) storeVerdict(f crashes.Fingerprint, made core.Micros) {
+	value, err := json.Marshal(verdict{MadeMicros: made})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), verdictTimeout)
+	defer cancel()
+	b.retry(ctx, "store verdict", func() error {
+		_, err := b.store.Put(ctx, platform.KindVerdict, hex.EncodeToString([]byte(f)), value)
+		return err
+	})
+}
+
+// load reads the stored verdicts once.
+func (b *crashBook) load(ctx context.Context) {
+	b.retry(ctx, "list verdicts", func() error {
+		objects, err := b.store.List(ctx, platform.KindVerdict, "")
+		for _, object := range objects {
+			b.addStored(object)
+		}
+		return err
+	})
+}
+
+func (b *crashBook) addStored(object platform.Object) {
+	fingerprint, err := hex.DecodeString(object.Name)
+	if err != nil {
+		return
+	}
+	var v verdict
+	if err := json.Unmarshal(object.Value, &v); err != nil {
+		b.log.Warn("verdict is not readable", "object", platform.KindVerdict+"/"+object.Name, "err", err)
+		return
+	}
+	b.set.AddVerdict(crashes.Fingerprint(fingerprint), v.MadeMicros)
+}
+
+func (b *crashBook) retry(ctx context.Context, what string, f func() error) {
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		b.log.Debug("platform call failed", "call", what, "err", err)
+		select {
+		case <-time.After(verdictRetry):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -165,7 +165,7 @@
 }
 
 func (s *Server) hosts(w http.ResponseWriter, r *http.Request) {
-	hosts, err := s.store.Hosts(r.Context())
+	hosts, err := s.store.Hosts(r.Context(), platform.HostState(r.URL.Query().Get("state")))
 	reply(w, hosts, err)
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -88,9 +88,10 @@
 }
 
 // Hosts implements Store.
-func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+func (c *Client) Hosts(ctx context.Context, state HostState) ([]Host, error) {
 	var out []Host
-	return out, c.call(ctx, http.MethodGet, "/v1/hosts", nil, nil, &out)
+	query := url.Values{"state": {string(state)}}
+	return out, c.call(ctx, http.MethodGet, "/v1/hosts", query, nil, &out)
 }
 
 func objectPath(kind, name string) string {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -84,6 +84,7 @@
 	List(ctx context.Context, kind, prefix string) ([]Object, error)
 	// WatchAfter waits up to timeout for a change after revision.
 	WatchAfter(ctx context.Context, kind, prefix string, revision uint64, timeout time.Duration) (Watch, error)
-	// Hosts returns the lagging host list.
-	Hosts(ctx context.Context) ([]Host, error)
+	// Hosts returns the entries of the lagging host list that are in a state; empty means all. The few leaving hosts are
+	// read often, the whole list, over 100 KB at 1,560 hosts, seldom.
+	Hosts(ctx context.Context, state HostState) ([]Host, error)
 }
