--- /dev/null
+++ b/internal/alloccore/view.go
@@ -0,0 +1,31 @@
+package alloccore
+
+import "github.com/carobstile/carobstile/internal/core"
+
+// EngineView is an engine as the allocator sees it.
+type EngineView struct {
+	Name string
+	// Report is the last report, nil before the first.
+	Report *EngineReported
+	// Committed is the KV memory of grants, Total all KV memory; tokens.
+	Committed, Total int
+}
+
+// View is a summary for operators.
+type View struct {
+	Ready, Grants, Queued int
+	Engines               []EngineView
+}
+
+// View returns the current summary.
+func (c *Core) View(now core.Micros) View {
+	v := View{Grants: len(c.grants), Queued: c.queue.len()}
+	for _, e := range c.engines {
+		k := candidate{engine: e}
+		if inPool(c, now, nil, &k) && reporting(c, now, nil, &k) && ready(c, now, nil, &k) && notDrained(c, now, nil, &k) {
+			v.Ready++
+		}
+		v.Engines = append(v.Engines, EngineView{e.cfg.Name, e.report, e.committed, e.total()})
+	}
+	return v
+}
