Order pools by workspace and prefix hash; take pool places from the index

Cause: the gate hands the hash of the prompt's first 1,024 bytes to grants, not the prompt. The controller and the daemon compute the same assignment, so the list of places stands once, in allocator.Places.

Before: grants hashed the prompt itself.

--- a/internal/allocator/assign.go
+++ b/internal/allocator/assign.go
@@ -4,6 +4,8 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/carobstile/carobstile/internal/config"
 )
 
 // Daemon is a live daemon that may allocate pools.
@@ -20,6 +22,17 @@
 	FailureDomain string
 }
 
+// Places returns the places of all pools of a configuration, sorted by name.
+func Places(index *config.Index) []PoolPlace {
+	var out []PoolPlace
+	for _, name := range index.PoolNames() {
+		if p, ok := index.Pool(name); ok {
+			out = append(out, PoolPlace{Name: name, Region: p.Region, FailureDomain: p.FailureDomain})
+		}
+	}
+	return out
+}
+
 // Assign chooses the allocator of each pool by bounded rendezvous hashing: over the daemons of the pool's failure
 // domain, or over those of its region while the domain has none, with at most ceil(pools/daemons) pools a daemon. The
 // bound counts the pools of one failure domain at a time, so that the loss of one domain moves no pool of another. Pools
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -41,7 +41,7 @@
 }
 
 func (c *Controller) fetchConfig(ctx context.Context) error {
-	resp, err := c.o.Daemons.FetchConfig(ctx, c.o.DaemonAddress, &pb.FetchConfigRequest{})
+	resp, err := c.o.Daemons.FetchConfig(ctx, c.o.DaemonAddress, &pb.FetchConfigRequest{MinGeneration: 1})
 	if err != nil {
 		return err
 	}
@@ -149,11 +149,7 @@
 		daemons = append(daemons, allocator.Daemon{Name: m.GetName(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain()})
 		addresses[m.GetName()] = m.GetAddress()
 	}
-	var pools []allocator.PoolPlace
-	for _, name := range c.view.index.PoolNames() {
-		p, _ := c.view.index.Pool(name)
-		pools = append(pools, allocator.PoolPlace{Name: name, Region: p.Region, FailureDomain: p.FailureDomain})
-	}
+	pools := allocator.Places(c.view.index)
 	assigned := allocator.Assign(pools, daemons)
 	seen := map[string]bool{}
 	var out []string
--- a/internal/grants/acquire.go
+++ b/internal/grants/acquire.go
@@ -33,8 +33,8 @@
 	MaxOutputTokens uint32
 	PrefixHashes    []uint64
 	PrefixBlock     uint32
-	// Prompt is the text of the prompt; only its first 1,024 bytes are read.
-	Prompt   []byte
+	// Affinity is the hash of the first 1,024 bytes of the prompt.
+	Affinity uint64
 	Deadline time.Time
 	// SuspectCount is the number of engine incarnations that crashed while they ran the fingerprint.
 	SuspectCount uint32
@@ -76,7 +76,7 @@
 	if directory == nil {
 		return nil
 	}
-	return directory.Order(req.Model, AffinityKey(req.Workspace, req.Prompt), g.health.avoid(time.Now()))
+	return directory.Order(req.Model, AffinityKey(req.Workspace, req.Affinity), g.health.avoid(time.Now()))
 }
 
 // attempt collects the answers of the pools.
--- a/internal/grants/order.go
+++ b/internal/grants/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,9 +10,6 @@
 	"github.com/carobstile/carobstile/internal/config"
 )
 
-// affinityBytes is how much of a prompt decides the order of pools.
-const affinityBytes = 1024
-
 // maxPools is the number of pools asked for one attempt.
 const maxPools = 3
 
@@ -21,14 +19,9 @@
 	FailureDomain string
 }
 
-// AffinityKey is what the order of pools depends on: the workspace and the first 1,024 bytes of the prompt.
-func AffinityKey(workspace string, prompt []byte) uint64 {
-	head := prompt[:min(len(prompt), affinityBytes)]
-	d := xxhash.New()
-	_, _ = d.WriteString(workspace)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(head)
-	return d.Sum64()
+// AffinityKey is what the order of pools depends on: the workspace and the hash of the first 1,024 bytes of the prompt.
+func AffinityKey(workspace string, prefix uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(workspace), prefix))
 }
 
 // candidate is a pool with the hash of its name, computed once per configuration.
