Serve the whole path: caller, gate, allocator, engine, as separate processes

Cause: the parts were apart. carobgate now wires membership, configuration, allocators, grants, claims, crash records and the caller API as actors; the caller API is the first actor, because the group interrupts actors in order and a planned stop must let requests finish while allocators and membership still run. Ruled out: starting processes from carobdev, since a process starts no other process; it only writes settings.

Before: no request could be served.

--- /dev/null
+++ b/cmd/carobcontroller/main.go
@@ -0,0 +1,14 @@
+// Command carobcontroller turns intended models, adapters and versions into orders to engines.
+package main
+
+import (
+	"os"
+
+	"github.com/carobstile/carobstile/internal/app"
+	"github.com/carobstile/carobstile/internal/controller"
+)
+
+func main() {
+	var s controller.Settings
+	os.Exit(app.Main("carobcontroller", &s, func(env *app.Env) error { return controller.Start(&s, env) }))
+}
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -17,6 +17,7 @@
 	workspaces map[string]*Workspace
 	models     map[string]*Model
 	servers    map[string]*BackendServer
+	byAddress  map[string]*BackendServer
 	routes     map[string]*Route
 	pools      map[string]*Pool
 	poolNames  []string
@@ -35,7 +36,7 @@
 	x := &Index{
 		Generation: generation, Doc: doc, Limits: doc.Limits.WithDefaults(),
 		callers: map[string]*Caller{}, byKey: map[string]*Workspace{}, workspaces: map[string]*Workspace{},
-		models: map[string]*Model{}, servers: map[string]*BackendServer{}, routes: map[string]*Route{},
+		models: map[string]*Model{}, servers: map[string]*BackendServer{}, byAddress: map[string]*BackendServer{}, routes: map[string]*Route{},
 		pools: map[string]*Pool{},
 	}
 	for i := range doc.Callers {
@@ -67,6 +68,7 @@
 
 func (x *Index) addServer(s *BackendServer) {
 	x.servers[s.Name] = s
+	x.byAddress[s.Address] = s
 	if s.Kind != KindEngine {
 		return
 	}
@@ -180,3 +182,9 @@
 	setDefault(&w.MaxConcurrentLoads, defaultConcurrent)
 	return w
 }
+
+// ServerAt returns the backend server at an address.
+func (x *Index) ServerAt(address string) (*BackendServer, bool) {
+	s, ok := x.byAddress[address]
+	return s, ok
+}
--- a/internal/confstore/store_test.go
+++ b/internal/confstore/store_test.go
@@ -84,4 +84,6 @@
 	return platform.Watch{}, nil
 }
 
-func (m *memoryStore) Hosts(context.Context, platform.HostState) ([]platform.Host, error) { return nil, nil }
+func (m *memoryStore) Hosts(context.Context, platform.HostState) ([]platform.Host, error) {
+	return nil, nil
+}
--- /dev/null
+++ b/internal/controller/start.go
@@ -0,0 +1,49 @@
+package controller
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/app"
+	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/peer"
+	"github.com/carobstile/carobstile/internal/platform"
+)
+
+const (
+	adminGrace = time.Second
+	// maxPeers bounds the connections to allocators that stay open.
+	maxPeers = 8
+)
+
+// Start builds a controller and adds its actors to the group.
+func Start(s *Settings, env *app.Env) error {
+	daemons, err := peer.NewPool(s.Credentials, maxPeers, env.Clock)
+	if err != nil {
+		return err
+	}
+	engines := engine.NewHTTP(0)
+	c := New(Options{
+		Name: s.Name, DaemonAddress: s.DaemonAddress, Store: platform.NewClient(s.PlatformAddress), Daemons: daemons,
+		Orders: engines, Refused: func(err error) bool { return engine.CodeOf(err) == engine.CodeOldFence }, Log: env.Log,
+	})
+	env.Background(c.Run)
+	return env.Serve("admin", s.AdminAddress, c.adminHandler(), adminGrace)
+}
+
+// Status is what the admin address shows.
+type Status struct {
+	Name   string `json:"name"`
+	Active bool   `json:"active"`
+}
+
+func (c *Controller) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(Status{Name: c.o.Name, Active: c.Active()}) // an operator who leaves is no fault
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,212 @@
+package daemon
+
+import (
+	"context"
+	"encoding/base64"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/allocator"
+	"github.com/carobstile/carobstile/internal/alloccore"
+	"github.com/carobstile/carobstile/internal/claim"
+	"github.com/carobstile/carobstile/internal/confcore"
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/confsync"
+	"github.com/carobstile/carobstile/internal/crashes"
+	"github.com/carobstile/carobstile/internal/cursor"
+	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/gate"
+	"github.com/carobstile/carobstile/internal/grants"
+	"github.com/carobstile/carobstile/internal/member"
+	"github.com/carobstile/carobstile/internal/membercore"
+	"github.com/carobstile/carobstile/internal/peer"
+	"github.com/carobstile/carobstile/internal/platform"
+)
+
+// Daemon is all parts of one carobgate.
+type Daemon struct {
+	settings *Settings
+	log      *slog.Logger
+	clock    *evlog.Clock
+
+	store     platform.Store
+	peers     *peer.Pool
+	members   *member.Members
+	conf      *confsync.Sync
+	allocator *allocator.Allocator
+	grants    *grants.Grants
+	router    *router
+	claims    *gateClaims
+	crashes   *crashBook
+	leaving   *leavingHosts
+	gate      *gate.Gate
+	metrics   *metrics
+	stopping  atomic.Bool
+
+	// assignMu serialises changes of the assignment.
+	assignMu sync.Mutex
+}
+
+// New builds a daemon. Nothing runs and no address is open but the UDP socket of membership.
+func New(s *Settings, log *slog.Logger, clock *evlog.Clock) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, clock: clock, store: platform.NewClient(s.PlatformAddress)}
+	d.metrics = newMetrics()
+	peers, err := peer.NewPool(s.Credentials, 0, clock)
+	if err != nil {
+		return nil, errors.Wrap(err, "credentials")
+	}
+	d.peers = peers
+	if err := d.buildMembership(); err != nil {
+		return nil, err
+	}
+	if err := d.buildAllocation(); err != nil {
+		return nil, err
+	}
+	return d, d.buildGate()
+}
+
+func (d *Daemon) buildMembership() error {
+	s := d.settings
+	sealer, err := peer.NewSealer(s.ClusterKeys, time.Now)
+	if err != nil {
+		return errors.Wrap(err, "cluster keys")
+	}
+	udp, err := peer.ListenUDP(s.PeerAddress, sealer, d.clock)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	d.members = member.New(member.Options{
+		Name: s.Name, Address: s.PeerAddress, Region: s.Region, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
+		Seed: rand.Uint64(), Transport: udp, Peers: d.peers, Log: d.log,
+		Hosts:    func(ctx context.Context) ([]platform.Host, error) { return d.store.Hosts(ctx, "") },
+		SkipHost: d.isBackendServer,
+	})
+	d.conf = confsync.New(confsync.Options{
+		Self: confcore.Peer{Name: s.Name, Address: s.PeerAddress, FailureDomain: s.FailureDomain},
+		Seed: rand.Uint64(), Store: d.store, Peers: d.peers, Members: d.members, Log: d.log,
+	})
+	return nil
+}
+
+func (d *Daemon) isBackendServer(address string) bool {
+	index := d.conf.Current()
+	if index == nil {
+		return false
+	}
+	_, ok := index.ServerAt(address)
+	return ok
+}
+
+func (d *Daemon) buildAllocation() error {
+	client := engine.NewHTTP(0)
+	d.leaving = &leavingHosts{store: d.store}
+	policy, err := alloccore.DefaultPolicy().Without(d.settings.PolicyOff)
+	if err != nil {
+		return errors.Wrap(err, "policyOff")
+	}
+	d.allocator = allocator.New(allocator.Options{
+		Loads: &loads{engines: client, leaving: d.leaving}, Policy: &policy, Log: d.log,
+	})
+	d.router = &router{self: d.settings.PeerAddress, local: d.allocator, peers: d.peers}
+	place := grants.Place{Region: d.settings.Region, FailureDomain: d.settings.FailureDomain}
+	d.grants = grants.New(grants.Options{Gate: d.settings.Name, Place: place, Peer: d.router, Log: d.log})
+	d.conf.Subscribe(func(*config.Index) { go d.reassign() })
+	d.members.Subscribe(member.Listener{
+		Changed: func() { go d.reassign() },
+		Records: func(records []membercore.Record) { d.crashes.learned(records) },
+	})
+	return nil
+}
+
+func (d *Daemon) buildGate() error {
+	keyring, err := newKeyring(d.settings.CursorKeys)
+	if err != nil {
+		return errors.Wrap(err, "cursor keys")
+	}
+	d.claims = newGateClaims(claim.New(claim.Options{
+		Store: d.store, Gate: d.settings.Name, NewID: uuid.NewString, Now: time.Now, Log: d.log,
+	}))
+	limit := config.Limits{}.WithDefaults().CrashLimit
+	d.crashes = &crashBook{
+		set: crashes.NewSet(limit), members: d.members, store: d.store, current: d.conf.Current, log: d.log,
+	}
+	engines := &gateEngines{client: engine.NewHTTP(0), owner: d.settings.Name, log: d.log}
+	d.gate = gate.New(gate.Options{
+		Name: d.settings.Name, Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
+		Claims: d.claims, Crashes: d.crashes, Cursors: keyring, Leaving: d.leaving.contains, Log: d.log,
+		Scope: d.metrics.scope.SubScope("gate"),
+	})
+	return nil
+}
+
+func newKeyring(keys []string) (*cursor.Keyring, error) {
+	var raw [][]byte
+	for _, key := range keys {
+		decoded, err := base64.StdEncoding.DecodeString(key)
+		if err != nil {
+			return nil, errors.New("a key is not base64")
+		}
+		raw = append(raw, decoded)
+	}
+	return cursor.NewKeyring(raw)
+}
+
+// reassign applies configuration and members to the assignment of pools.
+func (d *Daemon) reassign() {
+	d.assignMu.Lock()
+	defer d.assignMu.Unlock()
+	index := d.conf.Current()
+	if index == nil {
+		return
+	}
+	table := assign(index, d.members.Members(), d.settings.Name)
+	d.crashes.set.SetLimit(index.Limits.CrashLimit)
+	d.grants.Configure(index)
+	d.allocator.Pools(table.own, index)
+	d.router.table.Store(table)
+}
+
+// Ready reports whether callers may be sent here.
+func (d *Daemon) Ready() bool {
+	select {
+	case <-d.conf.Ready():
+		return !d.stopping.Load() && d.gate.Ready()
+	default:
+		return false
+	}
+}
+
+// Status implements peer.StatusSource.
+func (d *Daemon) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
+	out := &pb.StatusResponse{
+		Self: toProto(d.members.Self()), Pools: d.allocator.Status(), OpenStreams: uint32(d.gate.OpenStreams()),
+		Ready: d.Ready(),
+	}
+	for _, m := range d.members.Members() {
+		out.Members = append(out.Members, toProto(m))
+	}
+	if index := d.conf.Current(); index != nil {
+		out.Generation = index.Generation
+	}
+	return out, nil
+}
+
+var memberStates = map[membercore.State]pb.MemberState{
+	membercore.Alive: pb.MemberState_MEMBER_STATE_ALIVE, membercore.Suspect: pb.MemberState_MEMBER_STATE_SUSPECT,
+	membercore.Leaving: pb.MemberState_MEMBER_STATE_LEAVING, membercore.Dead: pb.MemberState_MEMBER_STATE_DEAD,
+}
+
+func toProto(m membercore.Member) *pb.Member {
+	return &pb.Member{
+		Name: m.Name, Address: m.Address, Region: m.Region, FailureDomain: m.FailureDomain, Incarnation: m.Incarnation,
+		State: memberStates[m.State],
+	}
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/carobstile/carobstile/internal/app"
+	"github.com/carobstile/carobstile/internal/peer"
+)
+
+const (
+	// stopTimeout bounds the end of each part after the open requests have ended.
+	stopTimeout = 5 * time.Second
+	// claimGrace is how long a planned stop waits for outcomes of claims to be recorded.
+	claimGrace        = 10 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	// callerIdleTimeout closes idle connections of the balancer.
+	callerIdleTimeout = 90 * time.Second
+)
+
+// Start builds a daemon and adds its actors to the group. The caller API comes first: the group interrupts actors in
+// order, so a planned stop lets open requests finish while allocators, membership and peers still run.
+func Start(s *Settings, env *app.Env) error {
+	d, err := New(s, env.Log, env.Clock)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	peers, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	server, err := peer.NewServer(s.Credentials, peer.Handlers{
+		Grants: d.allocator, Config: d.conf, Members: d.members, Status: d,
+	}, env.Clock)
+	if err != nil {
+		return err
+	}
+	d.serveCallers(env.Group, callers)
+	d.servePeers(env.Group, server, peers)
+	addRunner(env.Group, d.allocator.Run)
+	addRunner(env.Group, d.grants.Run)
+	addRunner(env.Group, d.conf.Run)
+	addRunner(env.Group, d.members.Run)
+	env.Background(d.leaving.run)
+	env.Background(d.crashes.load)
+	return env.Serve("admin", s.AdminAddress, d.adminHandler(), stopTimeout)
+}
+
+// addRunner adds an actor that runs until its context ends.
+func addRunner(group *run.Group, f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		if err := f(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			return err
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+func (d *Daemon) serveCallers(group *run.Group, listener net.Listener) {
+	server := &http.Server{
+		Handler: d.gate.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	}
+	d.log.Info("address open", "purpose", "callers", "address", listener.Addr().String())
+	group.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) { d.stop(server) })
+}
+
+// stop is the planned stop: tell the balancer and the other daemons, wait until they have seen it, let open requests
+// finish, then close.
+func (d *Daemon) stop(server *http.Server) {
+	d.log.Info("daemon stopping", "open_streams", d.gate.OpenStreams())
+	d.stopping.Store(true)
+	d.members.Leave()
+	d.allocator.Leave()
+	time.Sleep(d.settings.lameDuck())
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.stopGrace())
+	defer cancel()
+	if err := d.gate.Shutdown(ctx); err != nil {
+		d.log.Warn("open requests cut off", "err", err)
+	}
+	d.claims.wait(claimGrace)
+	closing, cancelClosing := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelClosing()
+	if server.Shutdown(closing) != nil {
+		_ = server.Close() // what is still open has no request under way
+	}
+}
+
+func (d *Daemon) servePeers(group *run.Group, server *peer.Server, listener net.Listener) {
+	d.log.Info("address open", "purpose", "peers", "address", listener.Addr().String())
+	group.Add(func() error { return server.Serve(listener) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close() // callers see a lost answer and ask another daemon
+		}
+	})
+}
--- a/internal/devdeploy/devdeploy.go
+++ b/internal/devdeploy/devdeploy.go
@@ -72,7 +72,7 @@
 
 // Host holds the addresses of an entry host.
 type Host struct {
-	Name, FailureDomain                       string
+	Name, FailureDomain                  string
 	Caller, Admin, Peer, ControllerAdmin string
 }
 
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -83,7 +83,7 @@
 	a.engine, a.address, a.incarnation = lead.Name, lead.Address, lead.Incarnation
 	a.reserve = int(lead.ReservedTokens)
 	for _, helper := range granted.Engines[1:] {
-		a.group = append(a.group, helper.Address)
+		a.helpers = append(a.helpers, Helper{Address: helper.Address, Reserve: int(helper.ReservedTokens)})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -95,7 +95,7 @@
 	g.tally.attempt(gatecore.KindModel)
 	stream, err := g.opts.Engines.Open(a.ctx, EngineCall{
 		Address: a.address, RequestID: f.requestID, Attempt: e.Attempt, ResumeFrom: e.ResumeFrom, Seed: f.model.seed,
-		Priority: f.identity.caller.Priority, Group: a.group, Deadline: (f.deadline - g.now()).Duration(),
+		Priority: f.identity.caller.Priority, Helpers: a.helpers, Deadline: (f.deadline - g.now()).Duration(),
 		Reserve: a.reserve, Body: f.model.body,
 	})
 	if err == nil {
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -50,7 +50,7 @@
 	engine      string
 	address     string
 	incarnation string
-	group       []string
+	helpers     []Helper
 	reserve     int
 }
 
--- a/internal/gate/options.go
+++ b/internal/gate/options.go
@@ -84,14 +84,21 @@
 	ResumeFrom int
 	Seed       uint64
 	Priority   int
-	// Group holds the addresses of helping engines.
-	Group    []string
+	// Helpers are the helping engines of a prompt that needs several.
+	Helpers  []Helper
 	Deadline time.Duration
 	// Reserve is the KV memory reserved at the lead engine by the grant, in tokens.
 	Reserve int
 	Body    []byte
 }
 
+// Helper is a helping engine of a grant.
+type Helper struct {
+	Address string
+	// Reserve is the KV memory reserved by the grant, in tokens.
+	Reserve int
+}
+
 // EngineEvent is one event of an engine's stream.
 type EngineEvent struct {
 	// Heartbeat is true when bytes arrived without a token; the other fields are then unset.
