--- /dev/null
+++ b/internal/gate/callers_test.go
@@ -0,0 +1,196 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/gatecore"
+)
+
+const second = time.Second
+
+// endless is an engine whose tokens do not end; each is large, so that a caller that does not read blocks soon.
+func endless(call EngineCall) ([]FakeStep, error) {
+	steps := make([]FakeStep, 4096)
+	for i := range steps {
+		steps[i].Event = EngineEvent{Attempt: call.Attempt, Offset: i, Text: strings.Repeat("x", 4096)}
+	}
+	return steps, nil
+}
+
+// dialChat sends a streamed request on a raw connection and returns it without reading.
+func (f *fixture) dialChat(headers string) net.Conn {
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	require.NoError(f.t, err)
+	require.NoError(f.t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: gate\r\nAuthorization: Bearer " + testKey + "\r\n" + headers
+	_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(streamedBody), streamedBody)
+	require.NoError(f.t, err)
+	return conn
+}
+
+func (f *fixture) eventuallyOpen(n int, within time.Duration) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.gate.OpenStreams() == n }, within, 2*time.Millisecond)
+}
+
+// Guards against a caller that does not read and holds its engine for longer than the write timeout.
+func TestSlowCallerIsCutOff(t *testing.T) {
+	f := newFixture(t, func(f *fixture) { f.engines.Script = endless })
+	f.gate.writeTimeout = 300 * time.Millisecond
+	conn := f.dialChat("")
+	defer func() { _ = conn.Close() }()
+	f.eventuallyOpen(1, second)
+	f.eventuallyOpen(0, 3*second)
+	require.Eventually(t, func() bool { _, cancels := f.engines.Calls(); return len(cancels) == 1 }, second, time.Millisecond)
+}
+
+// Guards against a deadline that waits for a caller that does not read.
+func TestDeadlineHoldsWhileTheCallerIsSlow(t *testing.T) {
+	f := newFixture(t, func(f *fixture) { f.engines.Script = endless })
+	conn := f.dialChat("X-Carobstile-Deadline-Ms: 400\r\n")
+	defer func() { _ = conn.Close() }()
+	f.eventuallyOpen(1, second)
+	start := time.Now()
+	f.eventuallyOpen(0, second)
+	require.Less(t, time.Since(start), 700*time.Millisecond)
+	_, held, _ := f.grants.Released()
+	require.Zero(t, held)
+}
+
+// Guards against a buffer that grows with a slow caller.
+func TestOutgoingBufferIsBounded(t *testing.T) {
+	most := 0
+	f := newFixture(t, func(f *fixture) { f.engines.Script = endless })
+	f.gate.writeTimeout = 300 * time.Millisecond
+	conn := f.dialChat("")
+	defer func() { _ = conn.Close() }()
+	f.eventuallyOpen(1, second)
+	for f.gate.OpenStreams() > 0 {
+		f.gate.mu.Lock()
+		for _, flight := range f.gate.flights {
+			flight.out.mu.Lock()
+			most = max(most, len(flight.out.tokens))
+			flight.out.mu.Unlock()
+		}
+		f.gate.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	require.Equal(t, outboxTokens, most)
+}
+
+// Guards against work for a caller that has left, while it waits for a grant and while it gets an answer.
+func TestCallerThatLeavesFreesEverything(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = func(call EngineCall) ([]FakeStep, error) {
+			return append(FakeAnswer(call, 1)[:1], FakeStep{Hang: true}), nil
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := http.DefaultClient.Do(f.request(http.MethodPost, "/v1/chat/completions", streamedBody).WithContext(ctx))
+	require.NoError(t, err)
+	_, err = bufio.NewReader(resp.Body).ReadString('\n')
+	require.NoError(t, err)
+	cancel()
+	_ = resp.Body.Close()
+	f.eventuallyOpen(0, second)
+	require.Eventually(t, func() bool { _, cancels := f.engines.Calls(); return len(cancels) == 1 }, second, time.Millisecond)
+}
+
+// Guards against callers that cannot be told from dead ones while they wait: a comment line arrives before any token.
+func TestWaitingCallerGetsHeartbeats(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = func(call EngineCall) ([]FakeStep, error) {
+			return append([]FakeStep{{Delay: 300 * time.Millisecond, Event: EngineEvent{Heartbeat: true}}}, FakeAnswer(call, 1)...), nil
+		}
+	})
+	f.gate.heartbeatInterval = 50 * time.Millisecond
+	_, body := f.chat(streamedBody)
+	require.True(t, strings.HasPrefix(string(body), sseHeartbeat), string(body))
+	require.Contains(t, string(body), "[DONE]")
+}
+
+// Guards against a shutdown that cuts off an open stream, or takes a new request.
+func TestShutdownFinishesOpenStreams(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = func(call EngineCall) ([]FakeStep, error) {
+			steps := FakeAnswer(call, 5)
+			steps[3].Delay = 300 * time.Millisecond
+			return steps, nil
+		}
+	})
+	require.True(t, f.gate.Ready())
+	answer := make(chan string)
+	go func() {
+		_, body := f.chat(streamedBody)
+		answer <- string(body)
+	}()
+	f.eventuallyOpen(1, second)
+	stopped := make(chan error)
+	go func() { stopped <- f.gate.Shutdown(context.Background()) }()
+	require.Eventually(t, func() bool { return !f.gate.Ready() }, second, time.Millisecond)
+	resp, body := f.chat(wholeBody)
+	requireError(t, resp, body, 503, "shutting_down", "not_run")
+	require.Contains(t, <-answer, "[DONE]")
+	require.NoError(t, <-stopped)
+}
+
+// Guards against a workspace that takes more than its share of a gate.
+func TestConcurrentRequestsAreBounded(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.doc.Workspaces[0].MaxConcurrent = 1
+		f.engines.Script = func(call EngineCall) ([]FakeStep, error) {
+			steps := FakeAnswer(call, 1)
+			steps[0].Delay = 200 * time.Millisecond
+			return steps, nil
+		}
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.chat(wholeBody)
+	}()
+	f.eventuallyOpen(1, second)
+	resp, body := f.chat(wholeBody)
+	requireError(t, resp, body, 429, "overloaded", "not_run")
+	<-done
+}
+
+// Guards against a deadline that does not reach the engine or is not enforced in the queue and in the stream.
+func TestDeadlines(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = func(call EngineCall) ([]FakeStep, error) { return []FakeStep{{Hang: true}}, nil }
+	})
+	resp, body := f.chat(wholeBody, headerDeadline, "150")
+	requireError(t, resp, body, 504, "deadline_exceeded", "run")
+	calls, _ := f.engines.Calls()
+	require.LessOrEqual(t, calls[0].Deadline, 150*time.Millisecond)
+	f.engines.Script = func(EngineCall) ([]FakeStep, error) { return nil, &EngineError{Cause: gatecore.CauseConnectFailed} }
+	resp, body = f.chat(wholeBody)
+	requireError(t, resp, body, 503, "no_backend_server", "not_run")
+}
+
+// Guards against a gate that answers callers before it knows them.
+func TestGateWithoutConfigurationIsNotReady(t *testing.T) {
+	g := New(Options{Config: func() *config.Index { return nil }})
+	require.False(t, g.Ready())
+	require.NoError(t, g.Shutdown(context.Background()))
+}
+
+// Guards against models offered to a caller that may not use them.
+func TestModelsOfTheCaller(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.doc.Models = append(f.doc.Models, config.Model{Name: "m2", Version: "1"})
+	})
+	_, body := f.do(f.request(http.MethodGet, "/v1/models", ""))
+	require.JSONEq(t, `{"object":"list","data":[{"id":"m1","object":"model","owned_by":"carobstile"}]}`, string(body))
+}
--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/gatecore"
@@ -58,15 +59,25 @@
 	return f, nil
 }
 
-// readBodyBefore reads a body and gives up at the request's deadline, so that a caller that sends slowly holds nothing
-// for longer.
-func (g *Gate) readBodyBefore(w http.ResponseWriter, r *http.Request, limit int, at core.Micros) ([]byte, *problem) {
+// bodyTimeout bounds the time that a caller may take to send a body, so that one that sends slowly holds little. The
+// largest body takes well under a second from a caller 1 ms away.
+const bodyTimeout = 30 * time.Second
+
+// limitBodyTime sets the deadline for reading the body and returns the function that changes it.
+func (g *Gate) limitBodyTime(w http.ResponseWriter, deadline core.Micros) func(time.Time) {
 	rc := http.NewResponseController(w)
 	// Writers without deadlines (test recorders) have the body already.
-	_ = rc.SetReadDeadline(g.opts.Clock.Now().Add((at - g.now()).Duration()))
+	set := func(at time.Time) { _ = rc.SetReadDeadline(at) }
+	set(g.opts.Clock.Now().Add(min((deadline - g.now()).Duration(), bodyTimeout)))
+	return set
+}
+
+// readBodyBefore reads a whole body within the time of the request.
+func (g *Gate) readBodyBefore(w http.ResponseWriter, r *http.Request, limit int, deadline core.Micros) ([]byte, *problem) {
+	limitRead := g.limitBodyTime(w, deadline)
 	body, p := readBody(w, r, limit)
 	if p == nil {
-		_ = rc.SetReadDeadline(zeroTime)
+		limitRead(zeroTime)
 	}
 	return body, p
 }
--- a/internal/gate/deliver.go
+++ b/internal/gate/deliver.go
@@ -10,9 +10,6 @@
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
 
-// heartbeatInterval is how often a caller that waits gets a comment line, so that a dead one is noticed.
-const heartbeatInterval = 2 * time.Second
-
 var zeroTime time.Time
 
 // sink writes an answer in the form that the caller asked for. Errors are those of the connection.
@@ -24,8 +21,6 @@
 	finish(f gatecore.Finish) error
 	fail(e ending) error
 	heartbeat() error
-	// started is true when a part of the answer, the status included, may have reached the caller.
-	started() bool
 }
 
 // deliver writes to the caller until the request has ended.
@@ -35,8 +30,8 @@
 	set := func(at time.Time) { _ = rc.SetWriteDeadline(at) }
 	complete := g.deliverAll(r, f, s, set)
 	f.out.disarm(func(time.Time) {})
-	if !complete && s.started() {
-		// The caller must not take the end of the connection for the end of the answer.
+	if !complete {
+		// Cuts the connection: the caller must not take its orderly end for the end of the answer.
 		panic(http.ErrAbortHandler)
 	}
 	set(zeroTime)
@@ -45,7 +40,7 @@
 // deliverAll returns true when the answer or its error has been written whole.
 func (g *Gate) deliverAll(r *http.Request, f *flight, s sink, set func(time.Time)) bool {
 	buf := make([]gatecore.SendToken, 0, batchTokens)
-	heartbeat := time.NewTicker(heartbeatInterval)
+	heartbeat := time.NewTicker(g.heartbeatInterval)
 	defer heartbeat.Stop()
 	quiet := true
 	for {
@@ -55,7 +50,7 @@
 		}
 		switch {
 		case len(batch) > 0:
-			f.out.armWrite(g.opts.Clock.Now(), set)
+			f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
 			if err := s.tokens(batch); err != nil {
 				return g.writeFailed(f, err)
 			}
@@ -63,13 +58,13 @@
 		case end.kind == endDrop:
 			return false
 		case end.kind != endNone:
-			f.out.armWrite(g.opts.Clock.Now(), set)
+			f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
 			return g.writeEnd(f, s, end)
 		default:
 			select {
 			case <-f.out.wake:
 			case chunk := <-s.parts():
-				f.out.armWrite(g.opts.Clock.Now(), set)
+				f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
 				if err := s.part(chunk); err != nil {
 					return g.writeFailed(f, err)
 				}
@@ -81,7 +76,7 @@
 					quiet = true
 					continue
 				}
-				f.out.armWrite(g.opts.Clock.Now(), set)
+				f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
 				if err := s.heartbeat(); err != nil {
 					return g.writeFailed(f, err)
 				}
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -128,7 +128,8 @@
 		f := g.flights[e.Request]
 		g.goWork(func() { g.askGrant(f, e) })
 	case gatecore.ReleaseGrant:
-		g.goWork(func() { g.opts.Grants.Release(e.GrantID, outcomes[e.Outcome], uint32(e.OutputTokens)) })
+		// In order with the next ask, which may need the memory that this grant holds.
+		g.opts.Grants.Release(e.GrantID, outcomes[e.Outcome], uint32(e.OutputTokens))
 	case gatecore.OpenStream:
 		f := g.flights[e.Request]
 		a := g.newAttempt(f, e.Attempt)
@@ -136,7 +137,7 @@
 	case gatecore.ReportCrash:
 		f := g.flights[e.Request]
 		g.opts.Log.Warn("engine crashed", evlog.KeyRequest, f.requestID, "engine", e.Engine)
-		g.goWork(func() { g.opts.Crashes.Report(f.model.fingerprint, e.Engine, e.Incarnation) })
+		g.opts.Crashes.Report(f.model.fingerprint, e.Engine, e.Incarnation)
 	case gatecore.AcquireClaim:
 		f := g.flights[e.Request]
 		g.goWork(func() { g.acquireClaim(f) })
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -27,6 +27,9 @@
 	// services is the transport of idempotent calls.
 	services *http.Transport
 
+	heartbeatInterval time.Duration
+	writeTimeout      time.Duration
+
 	// mu serialises the reducer. Applying its effects under mu only queues, registers and starts goroutines; all
 	// input and output is done without mu.
 	mu      sync.Mutex
@@ -62,8 +65,8 @@
 	}
 	g := &Gate{
 		opts: opts, start: opts.Clock.Now(), tally: newGateTally(opts.Scope), route: newRouteHealth(),
-		services: newServiceTransport(),
-		core:     gatecore.New(), flights: map[gatecore.Handle]*flight{}, idle: make(chan struct{}),
+		services: newServiceTransport(), heartbeatInterval: heartbeatInterval, writeTimeout: writeTimeout,
+		core: gatecore.New(), flights: map[gatecore.Handle]*flight{}, idle: make(chan struct{}),
 	}
 	g.parent, g.stop = context.WithCancel(context.Background())
 	g.mux = http.NewServeMux()
@@ -128,11 +131,6 @@
 	return id.String(), nil
 }
 
-// withDeadline returns a context that ends with the request or at its deadline.
-func (g *Gate) withDeadline(f *flight) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(f.ctx, (f.deadline - g.now()).Duration())
-}
-
 // settleContext returns a context for what follows the end of a request.
 func (g *Gate) settleContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(g.parent, claimTimeout)
--- a/internal/gate/options.go
+++ b/internal/gate/options.go
@@ -72,7 +72,7 @@
 	// answered. A grant that arrives after ctx has ended is returned all the same, or released by the implementation.
 	// Grants are renewed behind this interface until they are released.
 	Ask(ctx context.Context, ask GrantAsk) (*pb.GrantResponse, error)
-	// Release gives a grant back, once. It does not wait for the allocator.
+	// Release gives a grant back, once. It is called under the gate's lock: it must not wait nor call the gate.
 	Release(grantID string, outcome pb.Outcome, outputTokens uint32)
 }
 
@@ -135,6 +135,8 @@
 	Caller    string
 	Key       string
 	BodyHash  [32]byte
+	// RouteTimeout is how long a former call with the key may still be running.
+	RouteTimeout time.Duration
 }
 
 // Claim is a held claim.
@@ -178,7 +180,8 @@
 type Crashes interface {
 	// Count returns the number of engine incarnations that a fingerprint has crashed.
 	Count(f Fingerprint) int
-	// Report adds the record that an engine incarnation died while it ran the fingerprint. It does not wait.
+	// Report adds the record that an engine incarnation died while it ran the fingerprint. It is called under the
+	// gate's lock: it must not wait nor call the gate.
 	Report(f Fingerprint, engine, incarnation string)
 }
 
--- a/internal/gate/outbox.go
+++ b/internal/gate/outbox.go
@@ -11,7 +11,10 @@
 const (
 	outboxTokens = 256
 	batchTokens  = 32
+	// writeTimeout is how long a caller may not read before it is cut off.
 	writeTimeout = 10 * time.Second
+	// heartbeatInterval is how often a caller that waits gets a comment line, so that a dead one is noticed.
+	heartbeatInterval = 2 * time.Second
 	// endGrace is the time that a caller has to read what is left once its request has failed.
 	endGrace = time.Second
 )
@@ -115,10 +118,10 @@
 }
 
 // armWrite sets the deadline of the next write with set, under the lock that orders it against interrupts.
-func (o *outbox) armWrite(now time.Time, set func(time.Time)) {
+func (o *outbox) armWrite(now time.Time, timeout time.Duration, set func(time.Time)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	at := now.Add(writeTimeout)
+	at := now.Add(timeout)
 	if !o.deadline.IsZero() && o.deadline.Before(at) {
 		at = o.deadline
 	}
--- a/internal/gate/parse.go
+++ b/internal/gate/parse.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,6 +41,7 @@
 	MaxTokens           *int          `json:"max_tokens"`
 	MaxCompletionTokens *int          `json:"max_completion_tokens"`
 	Seed                *int64        `json:"seed"`
+	N                   *int          `json:"n"`
 }
 
 type chatMessage struct {
@@ -93,11 +95,19 @@
 		return nil, tooLarge(limit)
 	}
 	if err != nil {
-		return nil, notRun(gatecore.CodeInvalidRequest, "the request body broke off")
+		return nil, bodyProblem(err)
 	}
 	return body, nil
 }
 
+// bodyProblem types the failure to read a caller's body.
+func bodyProblem(err error) *problem {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return notRun(gatecore.CodeDeadlinePassed, "the request body did not arrive in time")
+	}
+	return notRun(gatecore.CodeInvalidRequest, "the request body broke off")
+}
+
 func tooLarge(limit int) *problem {
 	return notRun(gatecore.CodeTooLarge, fmt.Sprintf("the request body is over %d bytes", limit))
 }
@@ -110,6 +120,9 @@
 	}
 	m := &modelRequest{body: body, bodyHash: sha256.Sum256(body), stream: in.Stream, firstAttempt: 1}
 	m.fingerprint = fingerprintOf(id.caller.Name, body)
+	if in.N != nil && *in.N != 1 {
+		return nil, notRun(gatecore.CodeInvalidRequest, "n: only one answer is offered").at("n")
+	}
 	if p := m.setModel(id, in.Model); p != nil {
 		return nil, p
 	}
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"io"
@@ -110,19 +111,20 @@
 	if r.ContentLength > int64(call.limit) {
 		return tooLarge(call.limit)
 	}
-	rc := http.NewResponseController(w)
-	// Writers without deadlines (test recorders) have the body already.
-	_ = rc.SetReadDeadline(g.opts.Clock.Now().Add((deadline - g.now()).Duration()))
+	limitRead := g.limitBodyTime(w, deadline)
 	start, err := io.ReadAll(io.LimitReader(r.Body, replayBytes+1))
 	if err != nil {
-		return notRun(gatecore.CodeInvalidRequest, "the request body broke off")
+		return bodyProblem(err)
 	}
 	call.body = start
 	if len(start) <= replayBytes {
 		call.length = int64(len(start))
-		_ = rc.SetReadDeadline(zeroTime)
+		limitRead(zeroTime)
 		return nil
 	}
+	limitRead(g.opts.Clock.Now().Add((deadline - g.now()).Duration() + endGrace))
+	// The rest is read while the answer is written. Without this call net/http discards it at the first write.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	call.rest = &boundedReader{r: r.Body, left: call.limit - len(start)}
 	return nil
 }
@@ -189,10 +191,13 @@
 
 // acquireClaim performs gatecore.AcquireClaim.
 func (g *Gate) acquireClaim(f *flight) {
-	ctx, cancel := g.withDeadline(f)
+	// The margin leaves time to refuse before the deadline ends the request without a reason.
+	left := (f.deadline - g.now()).Duration()
+	ctx, cancel := context.WithTimeout(f.ctx, left-min(left/10, claimMargin))
 	defer cancel()
 	answer := g.opts.Claims.Acquire(ctx, ClaimRequest{
 		RequestID: f.requestID, Caller: f.identity.caller.Name, Key: f.call.key, BodyHash: f.call.bodyHash,
+		RouteTimeout: time.Duration(f.call.route.Timeout()) * time.Millisecond,
 	})
 	f.call.claim, f.call.outcome = answer.Claim, answer.Outcome
 	if answer.Status == gatecore.ClaimReplay && (answer.Outcome == nil || answer.Outcome.Truncated) {
@@ -203,8 +208,12 @@
 	})
 }
 
-// claimTimeout bounds the calls that settle a claim after its request has ended.
-const claimTimeout = 10 * time.Second
+// Bounds of calls to Claims: claimTimeout of those that settle a claim after its request has ended, claimMargin of what
+// is left of a request's time once its claim could not be acquired.
+const (
+	claimTimeout = 10 * time.Second
+	claimMargin  = 500 * time.Millisecond
+)
 
 // releaseClaim performs gatecore.ReleaseClaim.
 func (g *Gate) releaseClaim(f *flight) {
--- a/internal/gate/servicesink.go
+++ b/internal/gate/servicesink.go
@@ -16,8 +16,6 @@
 	begun bool
 }
 
-func (s *serviceSink) started() bool { return s.begun }
-
 func (s *serviceSink) parts() <-chan []byte { return s.call.chunks }
 
 func (s *serviceSink) begin() {
--- a/internal/gate/sink.go
+++ b/internal/gate/sink.go
@@ -78,8 +78,6 @@
 	return append(dst, quoted...)
 }
 
-func (s *streamSink) started() bool { return s.begun }
-
 func (s *streamSink) begin() {
 	if s.begun {
 		return
@@ -160,10 +158,9 @@
 
 // wholeSink assembles the answer and writes it whole.
 type wholeSink struct {
-	w     http.ResponseWriter
-	f     *flight
-	text  strings.Builder
-	begun bool
+	w    http.ResponseWriter
+	f    *flight
+	text strings.Builder
 }
 
 // wholeAnswer is a chat completion.
@@ -188,8 +185,6 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-func (s *wholeSink) started() bool { return s.begun }
-
 func (s *wholeSink) tokens(batch []gatecore.SendToken) error {
 	for _, t := range batch {
 		s.text.WriteString(t.Text)
@@ -211,7 +206,6 @@
 	if err != nil {
 		return err
 	}
-	s.begun = true
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if _, err := s.w.Write(body); err != nil {
@@ -221,9 +215,8 @@
 }
 
 func (s *wholeSink) fail(e ending) error {
-	s.begun = true
 	(&problem{Failure: e.failure}).write(s.w)
-	return nil
+	return http.NewResponseController(s.w).Flush()
 }
 
 func (s *wholeSink) heartbeat() error { return nil }
