Test streams, plain services and configuration under failure with real processes

Cause: the promises need proof under kills, freezes, lost answers, outages and planned stops, two at once included. Each test states the fault it causes and the failure it guards against; answers are compared with the deterministic function of the stand-in engine, so a lost, repeated or foreign token is seen.

Before: only the undisturbed path was tested. That each fails without its mechanism is not shown yet.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -259,10 +259,18 @@
 
 func (a answer) text() string { return strings.Join(a.tokens, "") }
 
+// seed of all chat requests, so that every engine gives the same answer to a prompt.
+const seed = 7
+
+// expected is the whole answer to a prompt.
+func expected(prompt string, maxTokens int) string {
+	return fakeengine.NewAnswer(prompt, devdeploy.Model, "1", seed).Text(0, maxTokens)
+}
+
 // chat sends a streamed chat request. each, if set, is called with the number of tokens received so far.
 func chat(ctx context.Context, address, key, prompt string, maxTokens int, lastID string, each func(n int)) answer {
 	body, _ := json.Marshal(map[string]any{
-		"model": devdeploy.Model, "stream": true, "max_tokens": maxTokens,
+		"model": devdeploy.Model, "stream": true, "max_tokens": maxTokens, "seed": seed,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
