--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,8 @@
 	leaving   *leavingHosts
 	gate      *gate.Gate
 	metrics   *metrics
+	udp       *peer.UDP
+	traffic   peer.Traffic
 	stopping  atomic.Bool
 
 	// assignMu serialises changes of the assignment.
@@ -63,6 +65,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "credentials")
 	}
+	peers.Traffic = &d.traffic
 	d.peers = peers
 	if err := d.buildMembership(); err != nil {
 		return nil, err
@@ -83,6 +86,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
+	d.udp = udp
 	d.members = member.New(member.Options{
 		Name: s.Name, Address: s.PeerAddress, Region: s.Region, FailureDomain: s.FailureDomain, Seeds: s.Seeds,
 		Seed: rand.Uint64(), Transport: udp, Peers: d.peers, Log: d.log,
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -32,3 +33,29 @@
 	}, metricsInterval)
 	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
 }
+
+// Names of the traffic metrics, in bytes since the start, both directions.
+const (
+	metricPeerBytes   = "peer_bytes"   // TCP between daemons, TLS included
+	metricPacketBytes = "packet_bytes" // UDP membership packets
+	metricRefused     = "packets_refused"
+)
+
+// reportTraffic publishes the bytes of control traffic until ctx ends.
+func (d *Daemon) reportTraffic(ctx context.Context) {
+	scope := d.metrics.scope.SubScope("control")
+	peers, packets, refused := scope.Gauge(metricPeerBytes), scope.Gauge(metricPacketBytes), scope.Gauge(metricRefused)
+	ticker := time.NewTicker(metricsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		counters := d.udp.Counters()
+		peers.Update(float64(d.traffic.Sent() + d.traffic.Received()))
+		packets.Update(float64(counters.SentBytes + counters.ReceivedBytes))
+		refused.Update(float64(counters.RefusedPackets))
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -52,6 +52,7 @@
 	addRunner(env.Group, d.members.Run)
 	env.Background(d.leaving.run)
 	env.Background(d.crashes.load)
+	env.Background(d.reportTraffic)
 	return env.Serve("admin", s.AdminAddress, d.adminHandler(), stopTimeout)
 }
 
@@ -102,7 +103,7 @@
 
 func (d *Daemon) servePeers(group *run.Group, server *peer.Server, listener net.Listener) {
 	d.log.Info("address open", "purpose", "peers", "address", listener.Addr().String())
-	group.Add(func() error { return server.Serve(listener) }, func(error) {
+	group.Add(func() error { return server.Serve(d.traffic.Listener(listener)) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
 		if server.Shutdown(ctx) != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -35,6 +35,8 @@
 	clock    *evlog.Clock
 	tls      *tls.Config
 	maxPeers int
+	// Traffic, if set before the first call, counts the bytes of the pool's connections.
+	Traffic *Traffic
 
 	mu    sync.Mutex
 	peers map[string]*peerClient
@@ -66,7 +68,7 @@
 	transport := &http.Transport{
 		TLSClientConfig:     p.tls.Clone(),
 		Protocols:           protocols,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         p.Traffic.dialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		TLSHandshakeTimeout: dialTimeout,
 		IdleConnTimeout:     idleTimeout,
 		HTTP2:               &http.HTTP2Config{SendPingTimeout: readIdleTimeout, PingTimeout: pingTimeout},
