--- /dev/null
+++ b/cmd/fakeengine/main.go
@@ -0,0 +1,69 @@
+// Command fakeengine runs one emulated model engine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/oklog/run"
+
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/fakeengine"
+)
+
+type options struct {
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON settings"`
+	Check    bool   `long:"check" description:"print all findings in the settings and exit"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	set, err := fakeengine.ReadSettings(opts.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if opts.Check {
+		return
+	}
+	if err := serve(set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func serve(set fakeengine.Settings) error {
+	log := evlog.Stderr("fakeengine-"+set.Listen, slog.LevelInfo, evlog.NewClock(time.Now))
+	listener, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return err
+	}
+	e := fakeengine.New(set)
+	server := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	var group run.Group
+	group.Add(func() error {
+		log.Info("listening", "address", listener.Addr().String())
+		return server.Serve(listener)
+	}, func(error) {
+		e.Close()
+		_ = server.Close()
+	})
+	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	err = group.Run()
+	if _, ok := err.(run.SignalError); ok {
+		signal.Reset()
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/engine/chat.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// ChatRequest is the part of an OpenAI chat completion request that decides the answer.
+type ChatRequest struct {
+	// Model is "<model>" or "<model>/<adapter>".
+	Model    string    `json:"model"`
+	Messages []Message `json:"messages"`
+	Stream   bool      `json:"stream,omitempty"`
+	// MaxTokens and its newer name MaxCompletionTokens bound the answer; 0 means no bound by the caller.
+	MaxTokens           int    `json:"max_tokens,omitempty"`
+	MaxCompletionTokens int    `json:"max_completion_tokens,omitempty"`
+	Seed                uint64 `json:"seed,omitempty"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is the text of a message. On the wire it is a string or a list of parts of type "text".
+type Content string
+
+// UnmarshalJSON reads both forms.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err == nil {
+		*c = Content(text)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return fmt.Errorf("content is neither a string nor a list of parts: %w", err)
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fmt.Errorf("content part of type %q is not supported", p.Type)
+		}
+		b.WriteString(p.Text)
+	}
+	*c = Content(b.String())
+	return nil
+}
+
+// Prompt returns the contents of all messages, concatenated without a separator. Its bytes count for PromptTokens.
+func (r *ChatRequest) Prompt() string {
+	if len(r.Messages) == 1 {
+		return string(r.Messages[0].Content)
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(string(m.Content))
+	}
+	return b.String()
+}
+
+// OutputBound returns the caller's bound on the answer in tokens; 0 means none.
+func (r *ChatRequest) OutputBound() int {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	return r.MaxTokens
+}
+
+// Chunk is one chat completion chunk of a stream.
+type Chunk struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+	// SystemFingerprint is "fp_<version>_<seed>", what decides the answer besides prompt and model.
+	SystemFingerprint string   `json:"system_fingerprint,omitempty"`
+	Choices           []Choice `json:"choices"`
+	Usage             *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is the only alternative of a chunk.
+type Choice struct {
+	Index int   `json:"index"`
+	Delta Delta `json:"delta"`
+	// FinishReason is null in all frames but the last, which has FinishStop or FinishLength and no content.
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Delta is the text that a chunk adds.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Usage counts tokens; it is in the last chunk only.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	// CachedTokens are prompt tokens taken from the prefix cache.
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Values of Choice.FinishReason.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+// ObjectChunk is the value of Chunk.Object.
+const ObjectChunk = "chat.completion.chunk"
+
+// Fingerprint formats Chunk.SystemFingerprint.
+func Fingerprint(version string, seed uint64) string { return fmt.Sprintf("fp_%s_%d", version, seed) }
+
+// ParseFingerprint reads the format of Fingerprint.
+func ParseFingerprint(s string) (version string, seed uint64, err error) {
+	rest, ok := strings.CutPrefix(s, "fp_")
+	cut := strings.LastIndexByte(rest, '_')
+	if !ok || cut < 0 {
+		return "", 0, fmt.Errorf("system fingerprint %q is not fp_<version>_<seed>", s)
+	}
+	if _, err := fmt.Sscanf(rest[cut+1:], "%d", &seed); err != nil {
+		return "", 0, fmt.Errorf("system fingerprint %q: %w", s, err)
+	}
+	return rest[:cut], seed, nil
+}
