--- a/internal/engine/http_test.go
+++ b/internal/engine/http_test.go
@@ -18,7 +18,10 @@
 // start serves handler and starts a request against it.
 func start(t *testing.T, handler http.HandlerFunc) (Stream, error) {
 	t.Helper()
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http notices a closed connection only after the body is read
+		handler(w, r)
+	}))
 	t.Cleanup(server.Close)
 	c := NewHTTP(testSilence)
 	t.Cleanup(c.Close)
