--- a/internal/membercore/core.go
+++ b/internal/membercore/core.go
@@ -29,8 +29,9 @@
 	indirectProbers = 3
 	// verifyPerInterval bounds the extra probes that check what a full exchange claims.
 	verifyPerInterval = 4
-	// startSyncs is the number of seeds asked for their table at the start.
-	startSyncs = 3
+	// joinSyncs is the number of seeds asked for their table at once while no other member is known. Some of the seeds
+	// may be gone.
+	joinSyncs = 3
 	// urgentHints is the number of members told at once of a leave or a crash record.
 	urgentHints = 4
 )
@@ -151,11 +152,7 @@
 	c.setTimer(keyProbe, c.nextProbe())
 	c.setTimer(keySync, c.now+c.jitter(syncInterval))
 	c.setTimer(keyHeal, c.now+lonelyInterval)
-	seeds := c.missing()
-	c.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	for _, seed := range seeds[:min(startSyncs, len(seeds))] {
-		c.emit(StartSync{To: seed.Address, Table: c.table()})
-	}
+	c.join()
 }
 
 // advance takes in the time. After a pause of this process the unread packets are older than the timers, so nothing is
--- a/internal/membercore/probe.go
+++ b/internal/membercore/probe.go
@@ -87,16 +87,24 @@
 		next = lonelyInterval
 	}
 	c.setTimer(keyHeal, c.now+next)
+	if alone {
+		c.join()
+	}
 	missing := c.missing()
 	if len(missing) == 0 {
 		return
 	}
 	m := missing[c.random.IntN(len(missing))]
-	if alone && m.Name == "" {
+	c.probe(m.Address, &probe{name: m.Name, heal: true}, nil)
+}
+
+// join asks a few random seeds or dead members for their tables.
+func (c *Core) join() {
+	missing := c.missing()
+	c.random.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	for _, m := range missing[:min(joinSyncs, len(missing))] {
 		c.emit(StartSync{To: m.Address, Table: c.table()})
-		return
 	}
-	c.probe(m.Address, &probe{name: m.Name, heal: true}, nil)
 }
 
 // missing returns dead members, then seeds (without a name), at whose address no live member is known.
--- a/internal/membercore/sync.go
+++ b/internal/membercore/sync.go
@@ -37,11 +37,8 @@
 	return Table{Members: members, Records: records, Generation: c.generation}
 }
 
-// merge takes in the table of another daemon.
-//
-// A claim that a member is suspect or dead is not taken over while this daemon holds the member for alive: after a
-// region split each half lists the other as dead, and taking that over would declare every daemon dead. The member is
-// probed with the claim instead, and either refutes it or is suspected.
+// merge takes in the table of another daemon. Claims that a live member is suspect or dead are checked first, see doubt:
+// they may be old, or come from the other half of a region split.
 func (c *Core) merge(t Table) {
 	if len(t.Members) == 0 || t.Members[0].Name == c.self.Name || !t.Members[0].valid() {
 		return
@@ -49,7 +46,7 @@
 	c.heard(t.Members[0])
 	for _, m := range t.Members[1:] {
 		e := c.members[m.Name]
-		if e != nil && e.Live() && (m.State == Dead || m.State == Suspect) {
+		if e != nil && e.Live() && m.valid() && (m.State == Dead || m.State == Suspect) {
 			c.doubt(e, m)
 			continue
 		}
@@ -62,16 +59,3 @@
 		c.emit(Joined{})
 	}
 }
-
-func (c *Core) doubt(e *entry, claim Member) {
-	if e.State == Suspect || !claim.valid() || !claim.newer(e.Member) {
-		return
-	}
-	for i, old := range c.verify {
-		if old.Name == claim.Name {
-			c.verify[i] = claim
-			return
-		}
-	}
-	c.verify = append(c.verify, claim)
-}
--- a/internal/membercore/table.go
+++ b/internal/membercore/table.go
@@ -33,11 +33,31 @@
 		c.refute(m)
 	case e == nil:
 		c.add(m)
+	case m.State == Dead && e.TakesWork():
+		c.doubt(e, m)
 	case m.newer(e.Member):
 		c.apply(e, m)
 	}
 }
 
+// doubt has a claim that a member is gone, which this daemon holds for alive, checked by a probe that carries it. The
+// member either refutes the claim or is suspected. A member that is suspect here keeps the time of its suspicion here.
+//
+// After a region split each half lists the other as dead, and taking that over would declare every daemon dead. A real
+// death is not delayed by this, since the suspicion before it spreads to all daemons and ends at each of them.
+func (c *Core) doubt(e *entry, claim Member) {
+	if e.State == Suspect || !claim.newer(e.Member) {
+		return
+	}
+	for i, old := range c.verify {
+		if old.Name == claim.Name {
+			c.verify[i] = claim
+			return
+		}
+	}
+	c.verify = append(c.verify, claim)
+}
+
 // refute answers a claim about this daemon that is not true with a higher incarnation.
 func (c *Core) refute(m Member) {
 	if m.Incarnation < c.self.Incarnation {
