--- a/internal/confcore/core.go
+++ b/internal/confcore/core.go
@@ -67,6 +67,8 @@
 	// wanted is the highest generation heard of; holders are daemons that have it, the latest first.
 	wanted  uint64
 	holders []string
+	// news is true while no root was read since wanted increased.
+	news bool
 
 	phase   phase
 	target  *Root
--- a/internal/confcore/fetch.go
+++ b/internal/confcore/fetch.go
@@ -12,9 +12,11 @@
 	if !c.useful(e.Generation) || e.Generation < c.wanted {
 		return
 	}
-	if e.Generation > c.wanted {
+	fresh := e.Generation > c.wanted
+	if fresh {
 		c.wanted = e.Generation
 		c.holders = nil
+		c.news = true
 	}
 	if !slices.Contains(c.holders, e.From) {
 		c.holders = append([]string{e.From}, c.holders[:min(len(c.holders), keptHolders-1)]...)
@@ -22,6 +24,9 @@
 	switch {
 	case c.phase == idle:
 		c.pursue()
+	case c.phase == waiting && fresh:
+		clear(c.tried)
+		c.resume()
 	case c.phase == waiting && !c.tried[e.From]:
 		// A new holder is worth an attempt before the retry is due.
 		c.resume()
@@ -39,6 +44,7 @@
 
 // readRoot asks the next source for a newer root: the holders, then the platform.
 func (c *Core) readRoot() {
+	c.news = false
 	source, ok := c.nextSource(c.holders)
 	switch {
 	case ok:
@@ -81,6 +87,12 @@
 
 // wait retries later, at growing intervals, since all sources failed.
 func (c *Core) wait() {
+	if c.news && c.wanted > c.newest() {
+		// A newer generation was heard of since the last attempt to read a root.
+		clear(c.tried)
+		c.readRoot()
+		return
+	}
 	c.phase = waiting
 	c.setTimer(keyRetry, c.now+c.retry)
 	c.retry = min(2*c.retry, maxRetry)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -248,28 +248,37 @@
 			changed = true
 		case membercore.NameConflict:
 			m.options.Log.Error("another daemon runs under the name of this one", "name", e.Other.Name, "address", e.Other.Address)
-		case membercore.GenerationSeen:
-			m.notify(func(l Listener) {
+		}
+	}
+	// Before Joined, since a daemon that knows no peers when it has joined would act as if it were alone.
+	if changed {
+		m.notify(func(l Listener) {
+			if l.Changed != nil {
+				l.Changed()
+			}
+		})
+	}
+	m.notifyLearned(effects)
+}
+
+func (m *Members) notifyLearned(effects []membercore.Effect) {
+	for _, effect := range effects {
+		m.notify(func(l Listener) {
+			switch e := effect.(type) {
+			case membercore.GenerationSeen:
 				if l.Generation != nil {
 					l.Generation(e.Generation, e.From)
 				}
-			})
-		case membercore.RecordsLearned:
-			m.notify(func(l Listener) {
+			case membercore.RecordsLearned:
 				if l.Records != nil {
 					l.Records(e.Records)
 				}
-			})
-		case membercore.Joined:
-			m.notify(func(l Listener) {
+			case membercore.Joined:
 				if l.Joined != nil {
 					l.Joined()
 				}
-			})
-		}
-	}
-	if changed {
-		m.notifyChanged()
+			}
+		})
 	}
 }
 
@@ -281,14 +290,6 @@
 		"state", string(e.Member.State), "previous", string(e.Previous), "incarnation", e.Member.Incarnation)
 }
 
-func (m *Members) notifyChanged() {
-	m.notify(func(l Listener) {
-		if l.Changed != nil {
-			l.Changed()
-		}
-	})
-}
-
 func (m *Members) notify(call func(Listener)) {
 	m.listenersMu.Lock()
 	listeners := m.listeners
