Build the JSON Pointer escaper once

Cause: Escape built a strings.Replacer for each key; the profile of Parse at the design size showed 17% in building it and much of the garbage collection behind it. Ruled out: checkScalar's second decoding (8%), which can stay.

--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -75,10 +75,11 @@
 	return strings.Join(lines, "\n")
 }
 
+// escaper is built once; a document of 14,000 workspaces escapes 100,000 keys.
+var escaper = strings.NewReplacer("~", "~0", "/", "~1")
+
 // Escape escapes one reference token of a JSON Pointer.
-func Escape(token string) string {
-	return strings.NewReplacer("~", "~0", "/", "~1").Replace(token)
-}
+func Escape(token string) string { return escaper.Replace(token) }
 
 func less(a, b Finding) bool {
 	if a.Line != b.Line {
