--- a/cmd/carobctl/main.go
+++ b/cmd/carobctl/main.go
@@ -12,7 +12,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	code := ctl.Main(ctx, os.Args[1:], ctl.DefaultEnv())
+	env := ctl.DefaultEnv()
+	env.Keygen = ctl.GenerateKeys
+	code := ctl.Main(ctx, os.Args[1:], env)
 	stop()
 	os.Exit(code)
 }
--- a/internal/config/checks.go
+++ b/internal/config/checks.go
@@ -21,6 +21,7 @@
 	maxConcurrentBound = 100_000
 	maxReplicasBound   = 100_000
 	maxLoadsBound      = 10_000
+	maxModelsBound     = 64
 	maxNameBytes       = 64
 	keyHashBytes       = 64
 )
@@ -163,6 +164,7 @@
 		v.list.Add(pointer+"/pool", "pool %q is not a valid name; every engine belongs to a pool", s.Pool)
 	}
 	v.between(pointer, "kvTokens", s.KVTokens, 1, maxKVTokensBound)
+	v.optional(pointer, "maxModels", s.MaxModels, 1, maxModelsBound)
 	v.between(pointer, "prefillTokensPerSecond", s.PrefillTokensPerSecond, 1, maxRateBound)
 	v.between(pointer, "decodeTokensPerSecond", s.DecodeTokensPerSecond, 1, maxRateBound)
 }
@@ -176,6 +178,7 @@
 		set   bool
 	}{
 		{"kvTokens", s.KVTokens != 0},
+		{"maxModels", s.MaxModels != 0},
 		{"prefillTokensPerSecond", s.PrefillTokensPerSecond != 0},
 		{"decodeTokensPerSecond", s.DecodeTokensPerSecond != 0},
 		{"checksFence", s.ChecksFence},
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -77,6 +77,7 @@
 		{func(d *Document) { d.BackendServers[0].Address = "host:1" }, "/backendServers/0/address", "IP address"},
 		{func(d *Document) { d.BackendServers[1].Address = "10.0.0.1:8000" }, "/backendServers/1/address", "already used"},
 		{func(d *Document) { d.BackendServers[0].KVTokens = 0 }, "/backendServers/0/kvTokens", "1 to"},
+		{func(d *Document) { d.BackendServers[0].MaxModels = -1 }, "/backendServers/0/maxModels", "1 to"},
 		{func(d *Document) { d.BackendServers[0].Kind = "x" }, "/backendServers/0/kind", `"engine" or "service"`},
 		{func(d *Document) { d.BackendServers[3].Pool = "p1" }, "/backendServers/3/pool", "no pool"},
 		{func(d *Document) { d.Routes[0].BackendServers = nil }, "/routes/0/backendServers", "no backend servers"},
--- a/internal/config/ranges.go
+++ b/internal/config/ranges.go
@@ -26,6 +26,7 @@
 		"Model.maxPromptTokens":                {Low: 1, High: maxTokensBound},
 		"Model.minReplicas":                    {Low: 0, High: maxReplicasBound},
 		"BackendServer.kvTokens":               optional(1, maxKVTokensBound),
+		"BackendServer.maxModels":              optional(1, maxModelsBound),
 		"BackendServer.prefillTokensPerSecond": optional(1, maxRateBound),
 		"BackendServer.decodeTokensPerSecond":  optional(1, maxRateBound),
 		"Route.timeoutMs":                      optional(1, maxDeadlineBoundMs),
--- a/internal/configschema/schema_test.go
+++ b/internal/configschema/schema_test.go
@@ -45,7 +45,8 @@
 	}
 	want, err := os.ReadFile(published)
 	require.NoError(t, err)
-	require.Equal(t, string(want), string(got), "run with CAROBSTILE_UPDATE_GOLDEN=1")
+	require.True(t, bytes.Equal(want, got), "docs/config.schema.json is not what Generate returns; run this test with"+
+		" CAROBSTILE_UPDATE_GOLDEN=1 and read the difference")
 }
 
 // Guards against examples that do not work, and against a schema that refuses what Parse accepts.
@@ -117,3 +118,10 @@
 		require.NotEmpty(t, docs[name], name)
 	}
 }
+
+// Guards against a number without a range in the schema, which an editor would then not check.
+func TestEveryNumberHasARange(t *testing.T) {
+	text, err := Generate()
+	require.NoError(t, err)
+	require.NotContains(t, strings.Join(strings.Fields(string(text)), ""), `"type":"integer"}`)
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -59,7 +61,7 @@
 	status := &pb.StatusResponse{Self: self, Members: []*pb.Member{self}, Generation: generation, Ready: true, OpenStreams: 3}
 	if i == 0 {
 		status.Pools = []*pb.PoolStatus{{Pool: "p1", EnginesReady: 1, Grants: 2, Queued: 1, Engines: []*pb.EngineStatus{{
-			Name: "e1", State: "ready", Role: "mixed", Models: []string{"prairie@v1"}, KvTokensTotal: 400_000,
+			Name: "e1", State: "ready", Role: "mixed", Models: []*pb.LoadedModel{{Name: "prairie", Version: "v1"}}, KvTokensTotal: 400_000,
 			KvTokensUsed: 100_000, ReportAgeMicros: 120_000,
 		}}}}
 	}
@@ -233,3 +235,22 @@
 	require.Equal(t, ExitFailed, code)
 	require.Contains(t, stderr, "not overwritten")
 }
+
+// Guards against keys that other users of the host can read, and against files that do not hold what carobgate needs.
+func TestGenerateKeys(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "keys")
+	host := KeygenHost{Name: "g1", Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")}}
+	files, err := GenerateKeys(KeygenRequest{Dir: dir, Hosts: []KeygenHost{host}, Validity: time.Hour})
+	require.NoError(t, err)
+	require.Equal(t, []string{filepath.Join(dir, "ca.pem"), filepath.Join(dir, "g1.json")}, files)
+	info, err := os.Stat(files[1])
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(keyFileMode), info.Mode().Perm())
+	data, err := os.ReadFile(files[1])
+	require.NoError(t, err)
+	var keys hostKeys
+	require.NoError(t, json.Unmarshal(data, &keys))
+	_, err = tls.X509KeyPair([]byte(keys.Credentials.Certificate), []byte(keys.Credentials.Key))
+	require.NoError(t, err)
+	require.NotEqual(t, keys.ClusterKeys, keys.CursorKeys)
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -87,13 +87,26 @@
 	for _, e := range p.GetEngines() {
 		age := time.Duration(e.GetReportAgeMicros()) * time.Microsecond
 		out = append(out, engineRow{
-			Name: e.GetName(), Pool: p.GetPool(), State: e.GetState(), Role: e.GetRole(), Models: e.GetModels(),
+			Name: e.GetName(), Pool: p.GetPool(), State: e.GetState(), Role: e.GetRole(), Models: loadedModels(e.GetModels()),
 			KVTokens: e.GetKvTokensTotal(), KVUsed: e.GetKvTokensUsed(), ReportAgeMs: age.Milliseconds(),
 		})
 	}
 	return out
 }
 
+// loadedModels formats models as "name@version+adapter+adapter".
+func loadedModels(models []*pb.LoadedModel) []string {
+	out := []string{}
+	for _, m := range models {
+		text := m.GetName() + "@" + m.GetVersion()
+		for _, adapter := range m.GetAdapters() {
+			text += "+" + adapter
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
 func memberState(state pb.MemberState) string {
 	return strings.ToLower(strings.TrimPrefix(state.String(), "MEMBER_STATE_"))
 }
