Add carobconsole: forms, drafts, conflicts, versions and live status

Cause: operators who do not edit JSON need forms with findings next to the fields, a diff to confirm, and changes that never overwrite another operator's. Forms, labels and help come from the Go structs and their doc comments.

Ruled out: plain HTTP on other than loopback addresses, because passwords would cross the network in the clear.

--- a/internal/configschema/schema.go
+++ b/internal/configschema/schema.go
@@ -103,7 +103,7 @@
 
 // Generate returns the JSON Schema of config.Document.
 func Generate() ([]byte, error) {
-	docs, err := comments(config.Source)
+	docs, err := Comments(config.Source)
 	if err != nil {
 		return nil, err
 	}
@@ -187,8 +187,8 @@
 	return &node{AnyOf: []*node{{Const: &unset}, n}}
 }
 
-// comments returns the doc comments of types and fields, by "<Type>" and "<Type>.<Field>", each on one line.
-func comments(source string) (map[string]string, error) {
+// Comments returns the doc comments of types and fields, by "<Type>" and "<Type>.<Field>", each on one line.
+func Comments(source string) (map[string]string, error) {
 	file, err := parser.ParseFile(token.NewFileSet(), "types.go", source, parser.ParseComments)
 	if err != nil {
 		return nil, errors.Wrap(err, "parse the types")
--- a/internal/configschema/schema_test.go
+++ b/internal/configschema/schema_test.go
@@ -112,7 +112,7 @@
 
 // Guards against undocumented fields: the schema is what newcomers read.
 func TestEveryTypeIsDescribed(t *testing.T) {
-	docs, err := comments(config.Source)
+	docs, err := Comments(config.Source)
 	require.NoError(t, err)
 	for name := range required {
 		require.NotEmpty(t, docs[name], name)
--- a/internal/confstore/confstore.go
+++ b/internal/confstore/confstore.go
@@ -142,3 +142,19 @@
 	}
 	return root, chunks, nil
 }
+
+// Refresh returns known when it is still in force, else the version in force. It costs one read of the root when nothing
+// changed.
+func (s *Store) Refresh(ctx context.Context, known *Snapshot) (*Snapshot, error) {
+	root, version, err := s.readRoot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if known != nil && version <= known.Version {
+		return known, nil // an equal version, or a stale read
+	}
+	if version == 0 {
+		return &Snapshot{Document: &config.Document{FormatVersion: config.FormatVersion}}, nil
+	}
+	return s.readDocument(ctx, root, version)
+}
--- /dev/null
+++ b/internal/console/sections.go
@@ -0,0 +1,117 @@
+package console
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/carobstile/carobstile/internal/config"
+)
+
+// section is one part of the document that has a page of its own.
+type section struct {
+	// Name is the JSON name of the part.
+	Name  string
+	Title string
+	// One names a single object; empty for a part that is one object, such as limits.
+	One string
+}
+
+var sections = []section{
+	{"callers", "Callers", "caller"},
+	{"workspaces", "Workspaces", "workspace"},
+	{"models", "Models and adapters", "model"},
+	{"backendServers", "Backend servers", "backend server"},
+	{"routes", "Routes", "route"},
+	{"limits", "Limits", ""},
+	{"weightStore", "Weight store", ""},
+}
+
+func findSection(name string) (section, bool) {
+	for _, s := range sections {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return section{}, false
+}
+
+// List reports whether the section holds named objects.
+func (s section) List() bool { return s.One != "" }
+
+// value returns the section's field of a document.
+func (s section) value(doc *config.Document) reflect.Value {
+	v := reflect.ValueOf(doc).Elem()
+	for i := range v.NumField() {
+		if jsonName(v.Type().Field(i)) == s.Name {
+			return v.Field(i)
+		}
+	}
+	panic("no section " + s.Name) // sections lists only fields of the document
+}
+
+func objectName(v reflect.Value) string { return v.FieldByName("Name").String() }
+
+// index returns the position of a named object, or -1.
+func (s section) index(doc *config.Document, name string) int {
+	list := s.value(doc)
+	for i := range list.Len() {
+		if objectName(list.Index(i)) == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// remove returns whether the named object existed.
+func (s section) remove(doc *config.Document, name string) bool {
+	i := s.index(doc, name)
+	if i < 0 {
+		return false
+	}
+	list := s.value(doc)
+	list.Set(reflect.AppendSlice(list.Slice(0, i), list.Slice(i+1, list.Len())))
+	return true
+}
+
+// row is one object in a list.
+type row struct {
+	Name    string
+	Summary string
+}
+
+// search returns the objects whose name or summary contains the text, without regard to case.
+func (s section) search(doc *config.Document, text string) []row {
+	list := s.value(doc)
+	text = strings.ToLower(text)
+	var out []row
+	for i := range list.Len() {
+		r := row{Name: objectName(list.Index(i)), Summary: summary(list.Index(i).Interface())}
+		if text == "" || strings.Contains(strings.ToLower(r.Name+" "+r.Summary), text) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func summary(object any) string {
+	switch o := object.(type) {
+	case config.Caller:
+		return "models " + strings.Join(o.Models, ", ")
+	case config.Workspace:
+		return "caller " + o.Caller
+	case config.Model:
+		return "version " + o.Version
+	case config.BackendServer:
+		text := string(o.Kind) + " " + o.Address + " in " + o.FailureDomain
+		if o.Pool != "" {
+			text += ", pool " + o.Pool
+		}
+		if o.Drained {
+			text += ", drained"
+		}
+		return text
+	case config.Route:
+		return strings.Join(o.BackendServers, ", ")
+	}
+	return ""
+}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -81,6 +81,13 @@
 Example: carobctl hash-key < key.txt`,
 			&hashKeyCommand{cli: c},
 		},
+		{
+			"hash-password", "Hash an operator's password for carobconsole", `Reads a password from standard input and prints its
+hash for operators of carobconsole's settings.
+
+Example: carobctl hash-password < password.txt`,
+			&hashPasswordCommand{cli: c},
+		},
 		{
 			"completion", "Print a shell completion script", `Prints a completion script for bash or zsh.
 
--- a/internal/ctl/tools.go
+++ b/internal/ctl/tools.go
@@ -11,6 +11,7 @@
 
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/password"
 	"github.com/carobstile/carobstile/internal/timeline"
 	"github.com/cockroachdb/errors"
 	flags "github.com/jessevdk/go-flags"
@@ -156,18 +157,14 @@
 
 type hashKeyCommand struct{ cli *cli }
 
-// maxKeyBytes bounds a bearer key.
+// maxKeyBytes bounds a bearer key or password.
 const maxKeyBytes = 4 << 10
 
 // Execute implements flags.Commander.
 func (h *hashKeyCommand) Execute([]string) error {
-	line, err := bufio.NewReader(io.LimitReader(h.cli.env.Stdin, maxKeyBytes)).ReadString('\n')
-	if err != nil && err != io.EOF {
-		return errors.Wrap(err, "read the key")
-	}
-	key := strings.TrimRight(line, "\r\n")
-	if key == "" {
-		return exitWith(ExitUsage, errors.New("no key on standard input"))
+	key, err := h.cli.readSecret("key")
+	if err != nil {
+		return err
 	}
 	if h.cli.json() {
 		return h.cli.printJSON(map[string]string{"keyHash": config.HashKey(key)})
@@ -176,6 +173,38 @@
 	return nil
 }
 
+// readSecret reads the first line of standard input.
+func (c *cli) readSecret(what string) (string, error) {
+	line, err := bufio.NewReader(io.LimitReader(c.env.Stdin, maxKeyBytes)).ReadString('\n')
+	if err != nil && err != io.EOF {
+		return "", errors.Wrapf(err, "read the %s", what)
+	}
+	secret := strings.TrimRight(line, "\r\n")
+	if secret == "" {
+		return "", exitWith(ExitUsage, errors.Newf("no %s on standard input", what))
+	}
+	return secret, nil
+}
+
+type hashPasswordCommand struct{ cli *cli }
+
+// Execute implements flags.Commander.
+func (h *hashPasswordCommand) Execute([]string) error {
+	secret, err := h.cli.readSecret("password")
+	if err != nil {
+		return err
+	}
+	hash, err := password.New(secret, password.Iterations)
+	if err != nil {
+		return err
+	}
+	if h.cli.json() {
+		return h.cli.printJSON(map[string]string{"passwordHash": hash.String()})
+	}
+	fmt.Fprintln(h.cli.env.Stdout, hash)
+	return nil
+}
+
 type completionCommand struct {
 	cli  *cli
 	Args struct {
