Keep others' changes when a form is saved that was opened before them

Cause: a form submits all fields of an object, so a form opened before another operator's change put the old values of untouched fields back into the new draft, and the merge at confirmation took them for this operator's changes. The form now carries the object as it was shown and is merged by field; the same field changed by both is a finding next to it.

Ruled out: pinning a draft when a form is opened, which a page kept open after an apply would still defeat. Before: the untouched field of a stale form overwrote the other operator's value.

--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -96,10 +96,10 @@
 	return b.browsers[name]
 }
 
-var hidden = regexp.MustCompile(`name="(csrf|digest)" value="([^"]*)"`)
+var hidden = regexp.MustCompile(`name="(csrf|digest|seen)" value="([^"]*)"`)
 
-// send performs "METHOD path [form]" and returns the status, the redirect target and the page. {csrf} and {digest} stand
-// for the values of the last page.
+// send performs "METHOD path [form]" and returns the status, the redirect target and the page. {csrf}, {digest} and
+// {seen} stand for the values of the last page that had them.
 func (b *bench) send(name, text string) (resp *http.Response, page string) {
 	one := b.browser(name)
 	words := strings.SplitN(text, " ", 3)
--- a/internal/console/objects.go
+++ b/internal/console/objects.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"reflect"
@@ -106,7 +107,9 @@
 	Section section
 	// Original is the name of the edited object; empty for a new one.
 	Original string
-	Fields   []field
+	// Seen is the object as the form shows it, so that a save can tell the operator's changes from others'.
+	Seen   string
+	Fields []field
 	// Other are findings of the object that belong to none of its fields.
 	Other []string
 }
@@ -140,7 +143,9 @@
 		return
 	}
 	list := s.draftFindings()
-	body := editBody{Section: one, Original: name, Fields: formFields(value, c.docs, findingsUnder(list, pointer))}
+	body := editBody{
+		Section: one, Original: name, Seen: encodeSeen(value), Fields: formFields(value, c.docs, findingsUnder(list, pointer)),
+	}
 	for _, f := range list {
 		if f.Pointer == pointer {
 			body.Other = append(body.Other, f.Message)
@@ -179,14 +184,14 @@
 		c.failed(w, s, err)
 		return
 	}
-	original := r.PostFormValue("original")
-	edited, wrong, ok := d.save(one, original, r.PostForm)
+	original, seen := r.PostFormValue("original"), r.PostFormValue("seen")
+	edited, wrong, ok := d.save(one, original, seen, r.PostForm)
 	if !ok {
 		c.notFound(w, r, s)
 		return
 	}
 	if len(wrong) > 0 {
-		body := editBody{Section: one, Original: original, Fields: formFields(edited, c.docs, wrong)}
+		body := editBody{Section: one, Original: original, Seen: seen, Fields: formFields(edited, c.docs, wrong)}
 		for i := range body.Fields {
 			body.Fields[i].Value = r.PostFormValue(body.Fields[i].Name)
 		}
@@ -201,36 +206,78 @@
 	http.Redirect(w, r, target, http.StatusSeeOther)
 }
 
-// save puts a submitted form into the draft. Input that cannot be read, and names by which the object could not be
-// found again, leave the draft as it was and are returned by field.
-func (d *draft) save(one section, original string, form url.Values) (reflect.Value, map[string][]string, bool) {
-	list := one.value(d.doc)
-	if !one.List() {
-		edited := reflect.New(list.Type()).Elem()
-		wrong := readForm(edited, form)
-		if len(wrong) == 0 {
-			list.Set(edited)
+// save puts a submitted form into the draft. Input that cannot be read, names by which the object could not be found
+// again, and fields that changed otherwise since the form was shown leave the draft as it was and are returned by field.
+// It returns false when the object no longer exists or the form does not say what it showed.
+func (d *draft) save(one section, original, seen string, form url.Values) (reflect.Value, map[string][]string, bool) {
+	target, isNew := one.value(d.doc), false
+	if one.List() {
+		at := one.index(d.doc, original)
+		isNew = original == ""
+		if at < 0 && !isNew {
+			return reflect.Value{}, nil, false
+		}
+		if isNew {
+			target = reflect.New(target.Type().Elem()).Elem()
+		} else {
+			target = target.Index(at)
 		}
-		return edited, wrong, true
 	}
-	at := one.index(d.doc, original)
-	if original != "" && at < 0 {
+	edited := reflect.New(target.Type()).Elem()
+	wrong := readForm(edited, form)
+	if !isNew && !keepOthers(edited, target, seen, wrong) {
 		return reflect.Value{}, nil, false
 	}
-	edited := reflect.New(list.Type().Elem()).Elem()
-	wrong := readForm(edited, form)
-	d.checkName(one, original, objectName(edited), wrong)
+	if one.List() {
+		d.checkName(one, original, objectName(edited), wrong)
+	}
 	if len(wrong) > 0 {
 		return edited, wrong, true
 	}
-	if at < 0 {
+	target.Set(edited)
+	if isNew {
+		list := one.value(d.doc)
 		list.Set(reflect.Append(list, edited))
-	} else {
-		list.Index(at).Set(edited)
 	}
 	return edited, nil, true
 }
 
+// keepOthers merges by field: what the form did not change since it was shown keeps the draft's present value. It
+// returns false when the form does not say what it showed.
+func keepOthers(edited, present reflect.Value, seen string, wrong map[string][]string) bool {
+	shown := reflect.New(edited.Type())
+	if json.Unmarshal([]byte(seen), shown.Interface()) != nil {
+		return false
+	}
+	for i := range edited.NumField() {
+		mine, before, now := edited.Field(i), shown.Elem().Field(i), present.Field(i)
+		switch {
+		case sameField(before, now) || sameField(mine, now):
+		case sameField(mine, before):
+			mine.Set(now)
+		default:
+			name := jsonName(edited.Type().Field(i))
+			text, _ := json.Marshal(now.Interface()) // fields are strings, numbers, booleans and lists, which encode
+			wrong[name] = append(wrong[name], "changed by someone else since this form was shown, to "+string(text)+
+				"; open the form again to edit it from there")
+		}
+	}
+	return true
+}
+
+func sameField(a, b reflect.Value) bool {
+	if a.Kind() == reflect.Slice && a.Len() == 0 && b.Len() == 0 {
+		return true
+	}
+	return reflect.DeepEqual(a.Interface(), b.Interface())
+}
+
+// encodeSeen returns an object as JSON.
+func encodeSeen(v reflect.Value) string {
+	text, _ := json.Marshal(v.Interface()) // objects hold strings, numbers, booleans and lists, which encode
+	return string(text)
+}
+
 func (d *draft) checkName(one section, original, name string, wrong map[string][]string) {
 	switch {
 	case !config.ValidName(name):
