--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -32,6 +32,7 @@
 type bench struct {
 	t        *testing.T
 	objects  *platform.Fake
+	console  *Console
 	server   *httptest.Server
 	now      time.Time
 	browsers map[string]*browser
@@ -60,6 +61,7 @@
 		Now: func() time.Time { return b.now },
 	})
 	require.NoError(t, err)
+	b.console = console
 	b.server = httptest.NewServer(console.Handler())
 	t.Cleanup(b.server.Close)
 	return b
@@ -342,3 +344,26 @@
 	require.NotContains(t, page, "<b>")
 	require.Contains(t, page, "&lt;script&gt;")
 }
+
+// Guards against a draft that is lost in an outage of the platform, and against an outage that hides the live status.
+func TestOutageKeepsTheDraft(t *testing.T) {
+	b := newBench(t)
+	b.load("trust.json")
+	b.signIn("ada")
+	b.send("ada", "GET /section/limits")
+	b.send("ada", "POST /section/limits/save csrf={csrf}&seen={seen}&queueLimit=77&defaultDeadlineMs=60000"+
+		"&maxDeadlineMs=1800000&maxOutputTokens=4096")
+	b.send("ada", "GET /draft")
+	b.console.timeout = 100 * time.Millisecond
+	b.objects.SetFaults(platform.Faults{Outage: true})
+	resp, _ := b.send("ada", "POST /draft/apply csrf={csrf}&digest={digest}")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	_, page := b.send("ada", "GET /status")
+	require.Contains(t, page, "gate-1")
+	b.objects.SetFaults(platform.Faults{LoseWriteAnswers: 2})
+	b.console.timeout = platformTimeout
+	resp, _ = b.send("ada", "POST /draft/apply csrf={csrf}&digest={digest}")
+	require.Equal(t, "/versions", resp.Header.Get("Location"))
+	require.Equal(t, 77, b.stored().Document.Limits.QueueLimit)
+	require.Equal(t, uint64(2), b.stored().Root.Generation)
+}
--- a/internal/console/draft.go
+++ b/internal/console/draft.go
@@ -124,7 +124,7 @@
 // apply merges the draft with what is in force and applies it. After a conflict with another change in between it merges
 // again; changes to the same field are reported and nothing is applied.
 func (c *Console) apply(ctx context.Context, s *session) (*confstore.Snapshot, *conflictReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	for try := 1; ; try++ {
 		current, err := c.inForce(ctx)
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -40,6 +40,7 @@
 type Console struct {
 	deps      Deps
 	secure    bool
+	timeout   time.Duration
 	pages     map[string]*template.Template
 	docs      map[string]string
 	sessions  *sessions
@@ -60,7 +61,7 @@
 		minutes = defaultSessionMinutes
 	}
 	c := &Console{
-		deps: deps, secure: s.Certificate != "", pages: map[string]*template.Template{},
+		deps: deps, secure: s.Certificate != "", timeout: platformTimeout, pages: map[string]*template.Template{},
 		sessions: newSessions(deps.Now, time.Duration(minutes)*time.Minute),
 		attempts: rate.NewLimiter(attemptsPerSecond, attemptsBurst),
 	}
@@ -193,7 +194,7 @@
 
 // inForce returns the version in force.
 func (c *Console) inForce(ctx context.Context) (*confstore.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	c.mu.Lock()
 	known := c.current
