--- a/internal/alloccore/ask.go
+++ b/internal/alloccore/ask.go
@@ -10,10 +10,14 @@
 func (c *Core) asked(ev GrantAsked) {
 	x := c.newEntry(ev)
 	if code := c.refusalOf(ev.Now, x); code != "" {
-		c.emit(Refused{Ask: x.ask, RequestID: x.req.RequestID, Code: code})
+		refused := Refused{Ask: x.ask, RequestID: x.req.RequestID, Code: code}
+		if code == CodeOverloaded {
+			refused.ExpectedWait = c.prefillSpan(x)
+		}
+		c.emit(refused)
 		return
 	}
-	if !c.makeRoom(x) {
+	if !c.makeRoom(ev.Now, x) {
 		c.emit(Refused{Ask: x.ask, RequestID: x.req.RequestID, Code: CodeOverloaded, ExpectedWait: unknownWait})
 		return
 	}
@@ -24,7 +28,7 @@
 	r := ev.Request
 	x := &entry{
 		ask: ev.Ask, req: r, serveKey: serveKey(r.Model, r.Adapter), mode: c.modeOf(r.SuspectCount),
-		need: r.PromptTokens + r.MaxOutputTokens, uncached: r.PromptTokens,
+		need: r.PromptTokens + r.MaxOutputTokens, uncached: r.PromptTokens, enqueued: ev.Now,
 	}
 	if c.policy.Priorities {
 		x.priority = min(max(r.Priority, 0), levels-1)
@@ -53,6 +57,7 @@
 		return CodeTooLarge
 	case c.open && len(c.serving(now, x)) == 0:
 		return CodeNoEngine
+	// The deadline passes before the first token even without a wait.
 	case c.policy.EarlyRefusal && x.req.Deadline > 0 && now+c.prefillSpan(x) > x.req.Deadline:
 		return CodeOverloaded
 	default:
@@ -61,13 +66,13 @@
 }
 
 // makeRoom keeps the queue within its limit. A full queue gives up the newest request of the lowest priority for one of
-// a higher priority; within one priority, the newest of the workspace with the most requests for one of a workspace with
+// a higher priority, unless it has aged to that priority; within one priority, the newest of the workspace with the most requests for one of a workspace with
 // fewer, so that one workspace cannot fill the queue against the others.
-func (c *Core) makeRoom(x *entry) bool {
+func (c *Core) makeRoom(now core.Micros, x *entry) bool {
 	if c.queue.len() < c.queueLimit {
 		return true
 	}
-	victim := c.queue.victimFor(x)
+	victim := c.queue.victimFor(now, x)
 	if victim == nil {
 		return false
 	}
@@ -76,9 +81,9 @@
 }
 
 // victimFor returns the waiting request to give up for x, or nil.
-func (q *queue) victimFor(x *entry) *entry {
+func (q *queue) victimFor(now core.Micros, x *entry) *entry {
 	for p := range x.priority {
-		if last := q.arrivals[p].Back(); last != nil {
+		if last := q.arrivals[p].Back(); last != nil && q.aged(last.Value.(*entry), now) < x.priority {
 			return last.Value.(*entry)
 		}
 	}
--- /dev/null
+++ b/internal/alloccore/bench_test.go
@@ -0,0 +1,70 @@
+package alloccore
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/engine"
+)
+
+// saturated returns a core whose engines are full and that has queued requests, and the grant ids in order.
+func saturated(b *testing.B, engines, queued int) (c *Core, ids []string, ask uint64) {
+	policy := DefaultPolicy()
+	policy.EarlyRefusal, policy.PrefillShares = false, false
+	c = New(Options{Instance: "g", Policy: policy})
+	configs := make([]EngineConfig, 0, engines)
+	for i := range engines {
+		configs = append(configs, EngineConfig{Name: fmt.Sprint("e", i), KVTokens: 400_000, PrefillRate: 20_000, DecodeRate: 50})
+	}
+	c.Step(PoolConfigured{Now: 1, Engines: configs, QueueLimit: 1_000, CrashLimit: 3})
+	for i := range engines {
+		c.Step(EngineReported{Now: 1, Engine: fmt.Sprint("e", i), Load: engine.Load{
+			Incarnation: "i", State: engine.StateReady, Models: []engine.LoadedModel{{Name: "m"}},
+		}})
+	}
+	for len(c.queue.byAsk) < queued {
+		ask++
+		for _, e := range c.Step(benchAsk(ask)) {
+			if g, ok := e.(Granted); ok {
+				ids = append(ids, g.GrantID)
+			}
+		}
+	}
+	return c, ids, ask
+}
+
+func benchAsk(ask uint64) GrantAsked {
+	prompt := 3_000
+	if ask%10 == 0 {
+		prompt = 20_000
+	}
+	return GrantAsked{Now: 1, Ask: ask, Request: Request{
+		Workspace: fmt.Sprint("w", ask%50), Priority: int(ask % 10), Model: "m", PromptTokens: prompt, MaxOutputTokens: 1_000,
+		MaxWait: core.Hour, PrefixHashes: []uint64{ask % 50, ask, ask + 1}, PrefixBlock: 256,
+	}}
+}
+
+// BenchmarkStep measures one release, which grants the next request, and one new request, on full engines.
+func BenchmarkStep(b *testing.B) {
+	for _, engines := range []int{2, 6, 12} {
+		for _, queued := range []int{10, 100, 500} {
+			b.Run(fmt.Sprintf("engines=%d/queued=%d", engines, queued), func(b *testing.B) {
+				c, ids, ask := saturated(b, engines, queued)
+				b.ReportAllocs()
+				for b.Loop() {
+					effects := c.Step(GrantReleased{Now: 1, GrantID: ids[0], Outcome: OutcomeComplete})
+					ids = ids[1:]
+					ask++
+					effects = append(effects, c.Step(benchAsk(ask))...)
+					for _, e := range effects {
+						if g, ok := e.(Granted); ok {
+							ids = append(ids, g.GrantID)
+						}
+					}
+				}
+				b.ReportMetric(float64(c.queue.len()), "queued")
+			})
+		}
+	}
+}
--- a/internal/alloccore/estimate.go
+++ b/internal/alloccore/estimate.go
@@ -1,6 +1,10 @@
 package alloccore
 
-import "github.com/carobstile/carobstile/internal/core"
+import (
+	"slices"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
 
 const (
 	// holdWeight is the weight of a new observation in the moving average of how long grants are held.
@@ -21,7 +25,11 @@
 	}
 	c.shape(x, engines, f)
 	ahead := c.queue.ahead(x)
-	return max(c.prefillWait(now, x, engines, ahead), c.memoryWait(x, engines, f, ahead))
+	wait := max(c.prefillWait(now, x, engines, ahead), c.memoryWait(x, engines, f, ahead))
+	if x.mode != modeNormal && !slices.ContainsFunc(engines, func(k candidate) bool { return k.engine.suspects == 0 }) {
+		wait = max(wait, c.meanHold, unknownWait)
+	}
+	return wait
 }
 
 // ahead sums the requests of the same class that are served before x: all of higher priority and, as fair queuing
--- /dev/null
+++ b/internal/alloccore/golden_test.go
@@ -0,0 +1,28 @@
+package alloccore
+
+import (
+	"testing"
+
+	"github.com/carobstile/carobstile/internal/golden"
+)
+
+func codec() *golden.Codec {
+	return golden.NewCodec(
+		PoolConfigured{}, EngineReported{}, EngineUnreachable{}, GrantAsked{}, AskAbandoned{}, GrantsRenewed{},
+		GrantReleased{}, Closed{}, TimerFired{}, Granted{}, Refused{}, Renewed{}, SetTimer{},
+	)
+}
+
+// Guards against any change of what the allocator does in the recorded sessions.
+func TestSessions(t *testing.T) {
+	golden.Check(t, "testdata/*.session", codec(), func(string) func(any) []any {
+		c := New(Options{Instance: "g", Policy: DefaultPolicy()})
+		return func(event any) []any {
+			var out []any
+			for _, effect := range c.Step(event.(Event)) {
+				out = append(out, effect)
+			}
+			return out
+		}
+	})
+}
--- a/internal/alloccore/order.go
+++ b/internal/alloccore/order.go
@@ -50,27 +50,28 @@
 	}
 }
 
-// grantNext grants the reserved head, else the first request in order that fits. The first one that does not fit
-// becomes the reserved head.
+// grantNext grants the first request in order that fits. The first one that lacks memory becomes the reserved head, so
+// that the reservation binds only those whose turn comes later.
 func (c *Core) grantNext(now core.Micros) bool {
-	if head := c.reserved.head; head != nil {
-		if plan, _ := c.place(now, head); plan != nil {
-			c.commit(now, head, plan)
-			return true
-		}
-	}
+	reserved := false
 	for _, t := range c.queue.turns(now) {
 		for _, x := range c.queue.heads(&t.lane.levels[t.priority], t.priority, lookAhead) {
 			plan, short := c.place(now, x)
+			if short && !reserved {
+				reserved = true
+				if c.reserve(now, x) {
+					plan, _ = c.place(now, x)
+				}
+			}
 			if plan != nil {
 				c.commit(now, x, plan)
 				return true
 			}
-			if short {
-				c.reserve(now, x)
-			}
 		}
 	}
+	if !reserved {
+		c.reserved = reservation{}
+	}
 	return false
 }
 
--- a/internal/alloccore/place.go
+++ b/internal/alloccore/place.go
@@ -154,16 +154,15 @@
 	return 0, false
 }
 
-// reserve makes a request the reserved head unless there is one.
-func (c *Core) reserve(now core.Micros, x *entry) {
-	if !c.policy.HeadReservation || c.reserved.head != nil {
-		return
+// reserve makes a request the reserved head. It reports whether this gave up the reservation of another request, so that
+// the request may fit now.
+func (c *Core) reserve(now core.Micros, x *entry) bool {
+	if !c.policy.HeadReservation || c.reserved.head == x {
+		return false
 	}
+	replaced := c.reserved.head != nil
 	engines := c.serving(now, x)
 	f := c.fitOf(x, engines)
-	if f.parts == 0 || len(engines) < f.parts {
-		return
-	}
 	c.shape(x, engines, f)
 	parts := c.soonestFree(engines, f.parts)
 	class := ClassShort
@@ -171,6 +170,7 @@
 		class = max(class, parts[i].class)
 	}
 	c.reserved = reservation{head: x, class: class, parts: parts}
+	return replaced
 }
 
 // soonestFree returns the n engines that lack the least memory for their part.
@@ -183,7 +183,7 @@
 	return out[:n]
 }
 
-// checkReserved gives the reservation up when an engine of it no longer serves the head.
+// checkReserved gives the reservation up when an engine of it no longer serves the head; the next pass chooses others.
 func (c *Core) checkReserved(now core.Micros) {
 	if c.reserved.head == nil {
 		return
--- a/internal/alloccore/policy.go
+++ b/internal/alloccore/policy.go
@@ -78,7 +78,8 @@
 	// PrefillHorizon is a span: an engine is given further work of a class once less than this is left of the last. It
 	// covers the way from the allocator over the gate to the engine.
 	PrefillHorizon core.Micros `json:"prefillHorizon"`
-	// AgingStep is a span.
+	// AgingStep is a span. With 3 s, the lowest priority gets a turn against the highest within 30 s, half the default
+	// deadline.
 	AgingStep core.Micros `json:"agingStep"`
 }
 
@@ -90,7 +91,7 @@
 		OwnCommitments: true, MemoryShares: true, PrefillShares: true, Groups: true, HeadReservation: true,
 		PrefixAffinity: true, AdapterLocality: true, EngineQueue: true, Priorities: true, Aging: true,
 		FairQueuing: true, EarlyRefusal: true, SuspectsApart: true, SoloTrials: true, WarmUp: true, CoolDown: true,
-		AffinityCap: 32_000, PrefillHorizon: 250 * core.Millisecond, AgingStep: 5 * core.Second,
+		AffinityCap: 32_000, PrefillHorizon: 250 * core.Millisecond, AgingStep: 3 * core.Second,
 	}
 }
 
--- a/internal/alloccore/queue.go
+++ b/internal/alloccore/queue.go
@@ -24,6 +24,7 @@
 	priority int
 	// need is the KV memory of the whole request, uncached its prefill work on the best engine; tokens.
 	need, uncached int
+	enqueued       core.Micros
 	// parts is the number of engines that the request takes.
 	parts int
 	// until is when the request is refused if it still waits.
@@ -303,6 +304,14 @@
 	return priority + int((now-l.since)/q.policy.AgingStep)
 }
 
+// aged returns the priority of a request raised by its own wait.
+func (q *queue) aged(x *entry, now core.Micros) int {
+	if !q.policy.Aging || q.policy.AgingStep <= 0 {
+		return x.priority
+	}
+	return x.priority + int((now-x.enqueued)/q.policy.AgingStep)
+}
+
 // best returns the level of a lane to serve next, and its effective priority.
 func (q *queue) best(l *lane, now core.Micros) (priority, effective int) {
 	priority, effective = -1, -1
