--- a/internal/alloccore/property_test.go
+++ b/internal/alloccore/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -28,6 +29,7 @@
 	ids     []string
 	nextAsk uint64
 	limit   int
+	policy  Policy
 	adopted bool
 }
 
@@ -41,7 +43,7 @@
 
 func newWorld(t require.TestingT, policy Policy, engines, limit int) *world {
 	w := &world{
-		t: t, core: New(Options{Instance: "g", Policy: policy}), now: core.Hour, limit: limit, timers: map[string]core.Micros{},
+		t: t, core: New(Options{Instance: "g", Policy: policy}), now: core.Hour, limit: limit, policy: policy, timers: map[string]core.Micros{},
 		engines: map[string]*testEngine{}, asked: map[uint64]core.Micros{}, grants: map[string]Granted{},
 	}
 	for i := range engines {
@@ -63,7 +65,7 @@
 
 // changeAllocator replaces the core by a new one, which knows neither the requests that wait nor the grants.
 func (w *world) changeAllocator() {
-	w.core = New(Options{Instance: fmt.Sprint("g", w.now), Policy: DefaultPolicy()})
+	w.core = New(Options{Instance: fmt.Sprint("g", w.now), Policy: w.policy})
 	w.timers, w.asked, w.adopted = map[string]core.Micros{}, map[uint64]core.Micros{}, true
 	w.step(w.configured())
 }
@@ -121,13 +123,15 @@
 		for _, h := range e.holdings {
 			sum += h.tokens
 		}
-		require.Equal(w.t, sum, e.committed)
-		if !w.adopted {
-			require.LessOrEqual(w.t, e.committed, testKV)
+		// Plain comparisons, because an assertion of testify costs more than the step under test.
+		if sum != e.committed || !w.adopted && sum > testKV {
+			require.Fail(w.t, "wrong commitments", "%s: %d held, %d committed", e.cfg.Name, sum, e.committed)
 		}
 	}
 	for ask, until := range w.asked {
-		require.Greater(w.t, until, w.now-1, "ask %d is late", ask)
+		if until < w.now {
+			require.Fail(w.t, "late answer", "ask %d", ask)
+		}
 	}
 }
 
@@ -202,6 +206,20 @@
 	}
 }
 
+// drawPolicy switches rules off at random. Own commitments stay on, as without them memory is given twice.
+func drawPolicy(t *rapid.T) Policy {
+	policy := DefaultPolicy()
+	policy.Picker = rapid.SampledFrom([]Picker{PickBestScore, PickRoundRobin, PickLeastLoaded}).Draw(t, "picker")
+	fields := reflect.ValueOf(&policy).Elem()
+	for i := range fields.NumField() {
+		if fields.Field(i).Kind() == reflect.Bool && rapid.IntRange(0, 5).Draw(t, fields.Type().Field(i).Name) == 5 {
+			fields.Field(i).SetBool(false)
+		}
+	}
+	policy.OwnCommitments = true
+	return policy
+}
+
 func drawRequest(t *rapid.T) Request {
 	prompt := rapid.SampledFrom([]int{100, 3_000, 20_000, 90_000, 150_000, 450_000, 2_000_000}).Draw(t, "prompt")
 	r := Request{
@@ -249,7 +267,7 @@
 // and engines died.
 func TestAccounting(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, DefaultPolicy(), rapid.IntRange(1, 6).Draw(t, "engines"), 20)
+		w := newWorld(t, drawPolicy(t), rapid.IntRange(1, 6).Draw(t, "engines"), 20)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			w.randomEvent(t)
 		}
