--- a/internal/allocator/assign.go
+++ b/internal/allocator/assign.go
@@ -1,7 +1,9 @@
 package allocator
 
 import (
-	"sort"
+	"cmp"
+	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -59,10 +61,10 @@
 	return out
 }
 
-// pair is a pool with a candidate and its rendezvous score.
+// pair is a pool with a candidate, by their places in the sorted lists of names, and its rendezvous score.
 type pair struct {
-	pool, daemon string
 	score        uint64
+	pool, daemon int32
 }
 
 // assignBounded takes the pairs from the highest score down, wherever the pool is free and the daemon below its bound.
@@ -71,34 +73,47 @@
 	if len(daemons) == 0 {
 		return
 	}
+	slices.Sort(pools)
+	slices.Sort(daemons)
 	bound := (len(pools) + len(daemons) - 1) / len(daemons)
-	load := make(map[string]int, len(daemons))
-	for _, p := range rankedPairs(pools, daemons) {
-		if _, taken := out[p.pool]; taken || load[p.daemon] >= bound {
+	load := make([]int, len(daemons))
+	taken := make([]bool, len(pools))
+	for _, p := range rankedPairs(hashes(pools), hashes(daemons)) {
+		if taken[p.pool] || load[p.daemon] >= bound {
 			continue
 		}
-		out[p.pool] = p.daemon
+		taken[p.pool] = true
 		load[p.daemon]++
+		out[pools[p.pool]] = daemons[p.daemon]
 	}
 }
 
-func rankedPairs(pools, daemons []string) []pair {
+func hashes(names []string) []uint64 {
+	out := make([]uint64, 0, len(names))
+	for _, name := range names {
+		out = append(out, xxhash.Sum64String(name))
+	}
+	return out
+}
+
+// rankedPairs returns all pairs from the highest score down, ties by name.
+func rankedPairs(pools, daemons []uint64) []pair {
 	pairs := make([]pair, 0, len(pools)*len(daemons))
-	for _, pool := range pools {
-		for _, daemon := range daemons {
-			pairs = append(pairs, pair{pool, daemon, xxhash.Sum64String(pool + "\x00" + daemon)})
+	var both [16]byte
+	for i, pool := range pools {
+		for j, daemon := range daemons {
+			binary.LittleEndian.PutUint64(both[:8], pool)
+			binary.LittleEndian.PutUint64(both[8:], daemon)
+			pairs = append(pairs, pair{xxhash.Sum64(both[:]), int32(i), int32(j)})
 		}
 	}
-	sort.Slice(pairs, func(i, j int) bool { return pairs[i].before(pairs[j]) })
+	slices.SortFunc(pairs, byScore)
 	return pairs
 }
 
-func (p pair) before(q pair) bool {
+func byScore(p, q pair) int {
 	if p.score != q.score {
-		return p.score > q.score
-	}
-	if p.daemon != q.daemon {
-		return p.daemon < q.daemon
+		return cmp.Compare(q.score, p.score)
 	}
-	return p.pool < q.pool
+	return cmp.Or(cmp.Compare(p.daemon, q.daemon), cmp.Compare(p.pool, q.pool))
 }
