--- a/internal/grants/acquire.go
+++ b/internal/grants/acquire.go
@@ -66,7 +66,7 @@
 			return grant, nil, nil
 		}
 	}
-	return nil, a.refusal(), a.err
+	return a.result()
 }
 
 func (g *Grants) order(req *Request) []string {
@@ -175,12 +175,12 @@
 	}
 }
 
-// refusal returns nil if no pool answered; the error then says why.
-func (a *attempt) refusal() *Refusal {
+// result returns the refusal, or the error if no pool answered.
+func (a *attempt) result() (*Grant, *Refusal, error) {
 	if a.refused != nil {
-		a.err = nil
+		return nil, a.refused, nil
 	}
-	return a.refused
+	return nil, nil, a.err
 }
 
 func (g *Grants) accept(req *Request, pool string, asked time.Time, granted *carobstilev1.Granted) *Grant {
