Test fair shares, observed rates, determinism and concurrent requests

Cause: the weights of fair queuing, the correction of expected waits by reports, independence of map order and the shell under concurrent requests were untested. A twin reducer takes the same random events and must have the same effects; stale timers are fired at random.

--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -36,8 +36,15 @@
 	}
 }
 
-// running starts an allocator of pool p with one engine and stops it at the end of the test.
+// running starts an allocator on synthetic time and waits for its first polls.
 func running(t *testing.T) (*Allocator, *FakeLoads) {
+	a, loads := started(t)
+	synctest.Wait()
+	return a, loads
+}
+
+// started starts an allocator of pool p with one engine and stops it at the end of the test.
+func started(t *testing.T) (*Allocator, *FakeLoads) {
 	loads := NewFakeLoads()
 	loads.Set(testAddress, testLoad())
 	a := New(Options{Loads: loads})
@@ -53,7 +60,6 @@
 		a.Pools(nil, testIndex())
 	})
 	a.Pools([]string{"p"}, testIndex())
-	synctest.Wait()
 	return a, loads
 }
 
--- a/internal/allocator/shell_test.go
+++ b/internal/allocator/shell_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +138,31 @@
 		mustGrant(t, a, grantRequest("r2"))
 	})
 }
+
+// Guards against races of the shell, and memory that is lost when answers, timers and releases cross.
+func TestConcurrentRequests(t *testing.T) {
+	a, _ := started(t)
+	require.Eventually(t, func() bool { return a.Status()[0].GetEnginesReady() == 1 }, 5*time.Second, time.Millisecond)
+	var gates sync.WaitGroup
+	for i := range 20 {
+		gates.Go(func() {
+			for j := range 20 {
+				oneRequest(t, a, fmt.Sprintf("r%d-%d", i, j))
+			}
+		})
+	}
+	gates.Wait()
+	require.Zero(t, a.Status()[0].GetGrants())
+	require.Zero(t, a.Status()[0].GetQueued())
+}
+
+func oneRequest(t *testing.T, a *Allocator, id string) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+	defer cancel()
+	r := grantRequest(id)
+	r.MaxOutputTokens = 30_000
+	response, err := a.Grant(ctx, r)
+	if granted := response.GetGranted(); err == nil && granted != nil {
+		release(t, a, granted.GetGrantId())
+	}
+}
--- a/internal/alloccore/policy_test.go
+++ b/internal/alloccore/policy_test.go
@@ -139,6 +139,57 @@
 	require.NotContains(t, w.asked, w.nextAsk, "served among the first")
 }
 
+// Guards against a division of the queue that ignores the weights of workspaces, or favours those with many requests.
+func TestFairShares(t *testing.T) {
+	policy := DefaultPolicy()
+	policy.EarlyRefusal, policy.PrefillShares = false, false
+	w := readyWorld(t, policy, 1)
+	full := Request{PromptTokens: 1_000, MaxOutputTokens: 190_000, MaxWait: core.Hour}
+	w.try(full)
+	for i := range 120 {
+		r := full
+		r.Workspace, r.Weight = "light", 1
+		if i%4 == 0 {
+			r.Workspace, r.Weight = "heavy", 3
+		}
+		w.try(r)
+	}
+	served := map[string]int{}
+	for range 33 {
+		id := w.ids[len(w.ids)-1]
+		queued := w.core.queue.perWorkspace["heavy"]
+		w.finish(id, OutcomeComplete, true)
+		if w.core.queue.perWorkspace["heavy"] < queued {
+			served["heavy"]++
+		} else {
+			served["light"]++
+		}
+	}
+	require.InDelta(t, 25, served["heavy"], 1)
+	require.InDelta(t, 8, served["light"], 1)
+}
+
+// Guards against expected waits that stay wrong while reports show that an engine is slower than configured.
+func TestObservedRateCorrectsTheWait(t *testing.T) {
+	w := readyWorld(t, DefaultPolicy(), 1)
+	e := w.core.engines[0]
+	load := e.report.Load
+	for i := range 20 {
+		// 5,000 of the configured 20,000 tokens a second.
+		load.QueuedPrefillTokens = 200_000 - 5_000*i
+		w.pass(core.Second)
+		w.step(EngineReported{Now: w.now, Engine: "e0", AskedAt: w.now, Load: load})
+	}
+	require.InDelta(t, 5_000, e.rate(), 100)
+	w.ask(Request{Model: "m", PromptTokens: 90_000, MaxOutputTokens: 10, MaxWait: core.Minute})
+	x := &entry{req: Request{Model: "m", PromptTokens: 90_000, MaxOutputTokens: 10}, serveKey: serveKey("m", "")}
+	x.need, x.uncached, x.parts = 90_010, 90_000, 1
+	x.class = ClassMedium
+	w.core.queue.push(w.now, x)
+	// 90,000 tokens at 0.8 of 5,000 a second, less the horizon.
+	require.InDelta(t, 22.25, seconds(w.core.expectedWait(w.now, x)), 0.5)
+}
+
 // Guards against sums of the queue that drift from its content, which would distort every expected wait.
 func TestQueueSumsReturnToZero(t *testing.T) {
 	policy := DefaultPolicy()
--- a/internal/alloccore/property_test.go
+++ b/internal/alloccore/property_test.go
@@ -17,8 +17,10 @@
 // world drives a core through random events: engines with lagged reports, gates that may forget to release, and timers
 // that are kept. It checks the invariants after each step.
 type world struct {
-	t      require.TestingT
-	core   *Core
+	t    require.TestingT
+	core *Core
+	// twin, if set, takes the same events and must have the same effects.
+	twin   *Core
 	now    core.Micros
 	timers map[string]core.Micros
 
@@ -66,6 +68,7 @@
 // changeAllocator replaces the core by a new one, which knows neither the requests that wait nor the grants.
 func (w *world) changeAllocator() {
 	w.core = New(Options{Instance: fmt.Sprint("g", w.now), Policy: w.policy})
+	w.twin = New(Options{Instance: fmt.Sprint("g", w.now), Policy: w.policy})
 	w.timers, w.asked, w.adopted = map[string]core.Micros{}, map[uint64]core.Micros{}, true
 	w.step(w.configured())
 }
@@ -82,7 +85,11 @@
 }
 
 func (w *world) step(ev Event) {
-	for _, effect := range w.core.Step(ev) {
+	effects := w.core.Step(ev)
+	if w.twin != nil && !reflect.DeepEqual(effects, w.twin.Step(ev)) {
+		require.Fail(w.t, "a second run has other effects")
+	}
+	for _, effect := range effects {
 		switch e := effect.(type) {
 		case Granted:
 			w.answered(e.Ask)
@@ -237,7 +244,7 @@
 
 func (w *world) randomEvent(t *rapid.T) {
 	name := rapid.SampledFrom(w.names).Draw(t, "engine")
-	switch rapid.IntRange(0, 13).Draw(t, "event") {
+	switch rapid.IntRange(0, 14).Draw(t, "event") {
 	case 0, 1, 2, 3:
 		w.ask(drawRequest(t))
 	case 4, 5:
@@ -254,6 +261,9 @@
 		if rapid.IntRange(0, 3).Draw(t, "change") == 0 {
 			w.changeAllocator()
 		}
+	case 12:
+		key := rapid.SampledFrom([]string{timerWarmUp, timerRetry, timerSweep, timerAsk + "1", timerAsk, "x"}).Draw(t, "timer")
+		w.step(TimerFired{Now: w.now, Key: key})
 	default:
 		if len(w.ids) > 0 {
 			id := rapid.SampledFrom(w.ids).Draw(t, "grant")
@@ -263,11 +273,13 @@
 	}
 }
 
-// Guards against memory given twice, answers given twice, late or never, and memory that never comes back after gates
-// and engines died.
+// Guards against memory given twice, answers given twice, late or never, memory that never comes back after gates and
+// engines died, harm by stale timers, and effects that depend on map order.
 func TestAccounting(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, drawPolicy(t), rapid.IntRange(1, 6).Draw(t, "engines"), 20)
+		w.changeAllocator()
+		w.adopted = false
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			w.randomEvent(t)
 		}
