Emulate batching, memory, orders and faults of engines

Cause: scheduling policy can only be decided against engines whose batch, memory, lag and faults behave as the published protocol says.

Ruled out: one goroutine per request with fixed pauses, as before; it shows neither the slowdown of short requests by long prefills nor memory pressure. Refusing on a full batch only was ruled out as well: memory is reserved when a request is accepted, so a refusal is always given before any work.

Before: fixed pauses per token. After: a step loop with a token budget shared by decodes and prefill chunks; KV blocks with a prefix cache and LRU eviction; resume window, cancel, deadlines; reservations, groups, KV transfer; orders with fences and loads; lagged reports and cache events; fault commands; accounting.

--- a/cmd/fakeengine/main.go
+++ b/cmd/fakeengine/main.go
@@ -24,6 +24,9 @@
 	Check    bool   `long:"check" description:"print all findings in the settings and exit"`
 }
 
+// exitCrashed is the exit status after a prompt or a fault command crashed the engine.
+const exitCrashed = 3
+
 func main() {
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
@@ -49,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	e := fakeengine.New(set)
+	e := fakeengine.New(set, fakeengine.WithLog(log), fakeengine.WithCrash(func() { os.Exit(exitCrashed) }))
 	server := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
 	var group run.Group
 	group.Add(func() error {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,10 @@
 	DeadlineMs int64
 	// ReserveTokens is the KV memory of the grant; 0 lets the engine work it out.
 	ReserveTokens int
+	// Version of the model; empty takes the one loaded last.
+	Version string
+	// ReservationID names the reservations at the helping engines; empty means ID.
+	ReservationID string
 	// Body is the caller's JSON body.
 	Body []byte
 	// NewConnection forbids reuse of a connection, which may have gone silent.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,10 @@
 	HeaderGroup      = "X-Group"       // addresses of helping engines, comma-separated
 	HeaderDeadlineMs = "X-Deadline-Ms" // milliseconds left
 	HeaderReserve    = "X-Reserve"     // KV tokens reserved by the grant
+	// HeaderModelVersion asks for a version of the model; without it the version loaded last answers.
+	HeaderModelVersion = "X-Model-Version"
+	// HeaderReservation is the id of the reservations of a multi-engine prompt; by default the request id.
+	HeaderReservation = "X-Reservation"
 )
 
 // Paths of the engine protocol.
@@ -21,7 +25,8 @@
 	PathCacheEvents  = "/engine/v1/cache-events"
 	PathOrders       = "/engine/v1/orders"
 	PathReservations = "/engine/v1/reservations"
-	PathKV           = "/engine/v1/kv/" // + block id, GET exports, PUT imports, DELETE frees
+	PathKV           = "/engine/v1/kv/"    // + hash of the last block in hex; GET exports, PUT imports, DELETE frees
+	PathGroup        = "/engine/v1/group/" // + reservation id; PUT and DELETE by the lead of a multi-engine prompt
 )
 
 // BytesPerToken is the number of bytes of prompt text in a token.
@@ -76,6 +81,10 @@
 	State       State         `json:"state"`
 	Role        Role          `json:"role"`
 	Models      []LoadedModel `json:"models"`
+	// Loading are models and adapters whose load was ordered and is not done.
+	Loading []LoadedModel `json:"loading,omitempty"`
+	// Fence is the highest fencing number seen.
+	Fence uint64 `json:"fence,omitempty"`
 	// KV memory, in tokens.
 	KVTokensTotal  int `json:"kvTokensTotal"`
 	KVTokensUsed   int `json:"kvTokensUsed"`
@@ -125,6 +134,30 @@
 	Role    Role    `json:"role,omitempty"`
 }
 
+// KVBlocks is a chain of prefix blocks, as exported by one engine and imported by another. The stand-in moves no bytes
+// of KV cache; it takes the time that they would take.
+type KVBlocks struct {
+	// Hashes of the blocks from the start of the prompt.
+	Hashes []uint64 `json:"hashes"`
+	// Owner and TTLMs of an import; the blocks cannot be evicted until then.
+	Owner string `json:"owner,omitempty"`
+	TTLMs int    `json:"ttlMs,omitempty"`
+}
+
+// GroupWork is the share of a multi-engine prompt that the lead gives to a helping engine. The lead repeats it to keep
+// the helper's reservation, and reads from the answer how far the helper is.
+type GroupWork struct {
+	PrefillTokens int `json:"prefillTokens"`
+	Priority      int `json:"priority"`
+	TTLMs         int `json:"ttlMs"`
+}
+
+// GroupStatus is the answer to GroupWork.
+type GroupStatus struct {
+	ReservedTokens int  `json:"reservedTokens"`
+	PrefillDone    bool `json:"prefillDone"`
+}
+
 // Reservation holds memory of a helping engine for a prompt that needs several engines. It expires unless renewed by a
 // POST with the same id and owner.
 type Reservation struct {
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -41,8 +41,9 @@
 	CodeOldAttempt       = "old_attempt"       // a later attempt of the request was seen
 	CodeDeadlineExceeded = "deadline_exceeded" // X-Deadline-Ms passed
 	CodeCancelled        = "cancelled"         // the request was cancelled or superseded
+	CodeOtherOwner       = "other_owner"       // the reservation or import belongs to another owner
 	CodeUnavailable      = "unavailable"       // refused by a fault command
-	CodeLoadFailed       = "load_failed"       // the weight store gave no weights
+	CodeHelperLost       = "helper_lost"       // a helping engine no longer holds its share
 )
 
 // Values of ErrorBody.Run.
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -121,6 +121,12 @@
 	if len(req.Group) > 0 {
 		h.Set(HeaderGroup, strings.Join(req.Group, ","))
 	}
+	if req.Version != "" {
+		h.Set(HeaderModelVersion, req.Version)
+	}
+	if req.ReservationID != "" {
+		h.Set(HeaderReservation, req.ReservationID)
+	}
 	if req.DeadlineMs > 0 {
 		h.Set(HeaderDeadlineMs, strconv.FormatInt(req.DeadlineMs, 10))
 	}
@@ -249,3 +255,16 @@
 	}
 	return nil
 }
+
+// JoinGroup gives a helping engine its share of a multi-engine prompt, or renews it. Only engines call it.
+func (c *HTTP) JoinGroup(ctx context.Context, address, reservation string, work GroupWork) (GroupStatus, error) {
+	var out GroupStatus
+	err := c.control(ctx, address, http.MethodPut, PathGroup+url.PathEscape(reservation), work, &out)
+	return out, err
+}
+
+// LeaveGroup ends a helping engine's share and frees its reservation. Only engines call it.
+func (c *HTTP) LeaveGroup(ctx context.Context, address, reservation string) error {
+	path := PathGroup + url.PathEscape(reservation)
+	return ignoreNotFound(c.control(ctx, address, http.MethodDelete, path, nil, nil))
+}
--- /dev/null
+++ b/internal/engine/prefix.go
@@ -0,0 +1,31 @@
+package engine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixHashes returns the hashes of the full prefix blocks of a prompt, at most limit of them (0: all). Each hash covers
+// the model ("<model>" or "<model>/<adapter>"), its version and all text up to the end of its block, as the hashes in
+// CacheEvent do.
+func PrefixHashes(model, version, prompt string, limit int) []uint64 {
+	const blockBytes = PrefixBlockTokens * BytesPerToken
+	n := len(prompt) / blockBytes
+	if limit > 0 {
+		n = min(n, limit)
+	}
+	out := make([]uint64, 0, n)
+	last := xxhash.Sum64String(model + "@" + version)
+	d := xxhash.New()
+	for i := range n {
+		var word [8]byte
+		binary.LittleEndian.PutUint64(word[:], last)
+		d.Reset()
+		_, _ = d.Write(word[:])
+		_, _ = d.WriteString(prompt[i*blockBytes : (i+1)*blockBytes])
+		last = d.Sum64()
+		out = append(out, last)
+	}
+	return out
+}
