Buffer stream writes, label percentile plots, cover all fault commands

Cause: a trial with four engines showed about 100 microseconds of CPU time for each generated token, plots with one label on an axis, no slowdown line in the table of a run with a baseline, and exit status 1 after SIGTERM.

Ruled out: sampling tokens in the load; writing the parts of a token in one buffer and encoding the fixed part of a chunk once is enough.

Before: three writes with a deadline each and one JSON encoding per token. After: one write per batch of tokens. A silenced stream can still be dropped; the fault "flush" empties the prefix cache between two measurements.

--- a/cmd/fakeengine/main.go
+++ b/cmd/fakeengine/main.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -63,10 +63,8 @@
 		_ = server.Close()
 	})
 	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
-	err = group.Run()
-	if _, ok := err.(run.SignalError); ok {
-		signal.Reset()
-		return nil
+	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+		return err
 	}
-	return err
+	return nil
 }
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -218,8 +218,12 @@
 		case p.drop:
 			panic(http.ErrAbortHandler)
 		case p.silent:
-			<-ctx.Done()
-			return
+			select { // only a drop or a crash can follow
+			case <-ctx.Done():
+				return
+			case <-c.wake:
+			}
+			continue
 		case next < p.upto:
 			next = e.writeTokens(out, r, c, next, p.upto)
 			beat.Reset(heartbeatEvery)
--- a/internal/fakeengine/fault.go
+++ b/internal/fakeengine/fault.go
@@ -22,6 +22,7 @@
 	FaultCrashOn     FaultKind = "crash_on"     // prompts that contain Marker crash the engine; empty ends it
 	FaultIgnoreFence FaultKind = "ignore_fence" // orders with an old fencing number are taken, unless Off
 	FaultLeaving     FaultKind = "leaving"      // the engine reports leaving and takes no new work, unless Off
+	FaultFlush       FaultKind = "flush"        // the prefix cache is emptied, as between two measurements
 	FaultClear       FaultKind = "clear"        // ends all faults
 )
 
@@ -117,6 +118,8 @@
 		f.ignoreFence = !in.Off
 	case FaultLeaving:
 		e.leaving = !in.Off
+	case FaultFlush:
+		e.pool.flush()
 	case FaultClear:
 		*f = faults{ignoreFence: e.set.IgnoresFence}
 		e.leaving = false
--- a/internal/fakeengine/fault_test.go
+++ b/internal/fakeengine/fault_test.go
@@ -1,6 +1,14 @@
 package fakeengine
 
 import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +52,119 @@
 	}
 }
 
+// Guards against nonsense that follows the protocol after all.
+func TestNonsenseOffsets(t *testing.T) {
+	for mode, want := range map[NonsenseMode][]int{
+		NonsenseGap: {1, 1, 2}, NonsenseRepeat: {0, 0, 1, 2}, NonsenseAttempt: {0, 1, 2},
+	} {
+		r := newRig(t, Settings{TimeScale: 10})
+		require.True(t, r.Inject(Fault{Kind: FaultNonsense, Count: 1, Mode: mode}))
+		s := r.start(engine.Request{ID: "r", Attempt: 1, Body: body("q", 3)})
+		var offsets, attempts []int
+		for {
+			f, err := s.Next()
+			if err != nil || f.Finish != "" {
+				break
+			}
+			if f.Content != "" {
+				offsets, attempts = append(offsets, f.Offset), append(attempts, f.Attempt)
+			}
+		}
+		require.Equal(t, want, offsets, mode)
+		require.Equal(t, mode == NonsenseAttempt, attempts[0] == 2)
+	}
+}
+
+// Guards against fault commands over HTTP that are dropped, and faults that outlive their count.
+func TestRefuseAndDelayOverHTTP(t *testing.T) {
+	r := newRig(t, Settings{})
+	fault := func(in Fault) {
+		data, err := json.Marshal(in)
+		require.NoError(t, err)
+		resp, err := http.Post("http://"+r.address+pathFault, "application/json", bytes.NewReader(data))
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	}
+	fault(Fault{Kind: FaultRefuse, Count: 1, Code: engine.CodeQueueFull})
+	_, err := r.client.Start(t.Context(), r.address, engine.Request{ID: "r", Body: body("q", 1)})
+	require.Equal(t, engine.CodeQueueFull, engine.CodeOf(err))
+	fault(Fault{Kind: FaultDelay, Ms: 150})
+	began := time.Now()
+	_, _, err = read(t, r.start(engine.Request{ID: "r", Body: body("q", 1)}), 0, 0)
+	require.Equal(t, io.EOF, err)
+	require.GreaterOrEqual(t, time.Since(began), 150*time.Millisecond)
+}
+
+// Guards against a model that is ready without its weights, and a load that gives up while the store is over its rate.
+func TestLoadWaitsForWeightStore(t *testing.T) {
+	var calls atomic.Int32
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != "/v1/weights/n" || calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	}))
+	defer store.Close()
+	r := newRig(t, Settings{ModelLoadMs: 1, WeightStore: store.Listener.Addr().String()})
+	require.NoError(t, r.client.Order(t.Context(), r.address, engine.Order{Op: engine.OrderLoad, Model: "n", Version: "v"}))
+	require.Eventually(t, func() bool {
+		load, err := r.client.Load(t.Context(), r.address)
+		return err == nil && len(load.Models) == 2
+	}, eventually, 10*time.Millisecond)
+	require.EqualValues(t, 2, calls.Load())
+}
+
+// Guards against lost cache events that leave no gap, and losses that a seed does not repeat.
+func TestLostCacheEventsLeaveGaps(t *testing.T) {
+	sequences := func() (out []uint64) {
+		r := newRig(t, Settings{Seed: 3, TimeScale: 50, CacheEvents: CacheEventSettings{LossShare: 0.5}})
+		_, _, err := read(t, r.start(engine.Request{ID: "r", Body: body(prompt("q", 20_000), 1)}), 0, 0)
+		require.Equal(t, io.EOF, err)
+		events, err := r.client.CacheEvents(t.Context(), r.address, 0)
+		require.NoError(t, err)
+		for _, ev := range events.Events {
+			out = append(out, ev.Sequence)
+		}
+		return out
+	}
+	first := sequences()
+	require.Less(t, len(first), 60)
+	require.Greater(t, first[len(first)-1], uint64(60))
+	require.Equal(t, first, sequences())
+}
+
+// Guards against memory that leaks when requests end in different ways at once.
+func TestAccountingUnderChurn(t *testing.T) {
+	r := newRig(t, Settings{TimeScale: 5, KVTokens: 30_000})
+	var wg sync.WaitGroup
+	var refused atomic.Int32
+	for i := range 80 {
+		wg.Go(func() {
+			id := strconv.Itoa(i)
+			req := engine.Request{ID: id, Attempt: 1, Priority: i % 3, Body: body(prompt("p"+strconv.Itoa(i%7), 900), 60)}
+			if i%4 == 0 {
+				req.DeadlineMs = int64(5 + i)
+			}
+			s, err := r.client.Start(t.Context(), r.address, req)
+			if err != nil {
+				refused.Add(1)
+				return
+			}
+			defer s.Close()
+			if i%4 == 1 {
+				_, _ = s.Next()
+				_ = r.client.Cancel(t.Context(), r.address, id, 1)
+			}
+			for err == nil {
+				_, err = s.Next()
+			}
+		})
+	}
+	wg.Wait()
+	require.Less(t, refused.Load(), int32(80))
+	r.requireFreed()
+}
+
 // Guards against a crash that spares the engine, or a restart that keeps memory or its incarnation.
 func TestCrashOnMarker(t *testing.T) {
 	r := newRig(t, Settings{CrashMarker: "poison"})
--- a/internal/fakeengine/frames.go
+++ b/internal/fakeengine/frames.go
@@ -1,9 +1,12 @@
 package fakeengine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/carobstile/carobstile/internal/engine"
@@ -35,14 +38,21 @@
 	model       string
 	fingerprint string
 	created     int64
-	err         error
+	// head and tail are the parts of a token's chunk around its text, which needs no JSON escapes.
+	head, tail string
+	buf        bytes.Buffer
+	err        error
 }
 
 func newFrames(w http.ResponseWriter, r *request, attempt int) *frames {
-	return &frames{
+	f := &frames{
 		w: w, id: r.id, attempt: attempt, model: r.modelField, created: time.Now().Unix(),
 		fingerprint: engine.Fingerprint(r.version, r.seed),
 	}
+	const mark = "\x00"
+	sample, _ := json.Marshal(f.body(engine.Choice{Delta: engine.Delta{Content: mark}}, nil))
+	f.head, f.tail, _ = strings.Cut(string(sample), `\u0000`)
+	return f
 }
 
 func (f *frames) open() {
@@ -56,24 +66,30 @@
 	f.flush()
 }
 
-func (f *frames) raw(text string) {
-	if f.err == nil {
-		_ = http.NewResponseController(f.w).SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, f.err = f.w.Write([]byte(text))
+func (f *frames) raw(parts ...string) {
+	for _, p := range parts {
+		f.buf.WriteString(p)
 	}
 }
 
 // close lifts the write deadline, which net/http would keep for the next request on the connection.
 func (f *frames) close() { _ = http.NewResponseController(f.w).SetWriteDeadline(time.Time{}) }
 
+// flush sends what was written.
 func (f *frames) flush() {
-	if f.err == nil {
-		f.err = http.NewResponseController(f.w).Flush()
+	if f.err != nil {
+		return
 	}
+	control := http.NewResponseController(f.w)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, f.err = f.w.Write(f.buf.Bytes()); f.err == nil {
+		f.err = control.Flush()
+	}
+	f.buf.Reset()
 }
 
 func (f *frames) token(offset int, text string) {
-	f.chunk(offset, engine.Choice{Delta: engine.Delta{Content: text}}, nil)
+	f.raw("id: ", strconv.Itoa(f.attempt), ":", strconv.Itoa(offset), "\ndata: ", f.head, text, f.tail, "\n\n")
 }
 
 func (f *frames) finish(r *request) {
@@ -81,7 +97,8 @@
 		PromptTokens: r.promptTokens, CompletionTokens: r.tokens, TotalTokens: r.promptTokens + r.tokens,
 		CachedTokens: r.cachedTokens,
 	}
-	f.chunk(r.tokens, engine.Choice{FinishReason: &r.finish}, usage)
+	data, _ := json.Marshal(f.body(engine.Choice{FinishReason: &r.finish}, usage))
+	f.raw(fmt.Sprintf("id: %d:%d\ndata: %s\n\n", f.attempt, r.tokens, data))
 	f.raw("data: [DONE]\n\n")
 	f.flush()
 }
@@ -94,13 +111,10 @@
 	}
 }
 
-func (f *frames) chunk(offset int, choice engine.Choice, usage *engine.Usage) {
-	data, err := json.Marshal(engine.Chunk{
+func (f *frames) body(choice engine.Choice, usage *engine.Usage) engine.Chunk {
+	return engine.Chunk{
 		ID: "chatcmpl-" + f.id, Object: engine.ObjectChunk, Created: f.created, Model: f.model,
 		SystemFingerprint: f.fingerprint, Choices: []engine.Choice{choice}, Usage: usage,
-	})
-	if err == nil {
-		f.raw(fmt.Sprintf("id: %d:%d\ndata: %s\n\n", f.attempt, offset, data))
 	}
 }
 
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -6,6 +6,7 @@
 	"math"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"text/tabwriter"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -84,7 +85,8 @@
 
 var lengthOrder = []string{LengthShort, LengthMedium, LengthLong, LengthService}
 
-// Table writes the results side by side. Slowdowns are against the first result.
+// Table writes the results side by side. Slowdowns are against the first result; the first one's own is against the
+// baseline of its run.
 func Table(w io.Writer, results []Named) error {
 	tab := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(tab, "length, ms\tresult\trequests\tcomplete\twrong\tttft p50\tp95\tp99\tbetween p50\tp95\tp99\ttotal p95")
@@ -96,11 +98,12 @@
 		}
 	}
 	fmt.Fprintln(tab, "\nshort, slowdown\tagainst\tmatched\ttotal p50\tp95\tp99\tttft p50\tp95\tp99")
-	for _, r := range results[1:] {
-		if s := NewSlowdown(r.Result, results[0].Result, results[0].Name); s != nil {
-			fmt.Fprintf(tab, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n", r.Name, s.Baseline, s.Matched,
-				s.Total.P50, s.Total.P95, s.Total.P99, s.First.P50, s.First.P95, s.First.P99)
+	for i, r := range results {
+		slowdown := r.Slowdown
+		if i > 0 {
+			slowdown = NewSlowdown(r.Result, results[0].Result, results[0].Name)
 		}
+		slowdownRow(tab, r.Name, slowdown)
 	}
 	fmt.Fprintln(tab, "\nresult\toutcome\trequests")
 	for _, r := range results {
@@ -109,6 +112,14 @@
 	return tab.Flush()
 }
 
+func slowdownRow(w io.Writer, name string, s *Slowdown) {
+	if s == nil {
+		return
+	}
+	fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n", name, s.Baseline, s.Matched,
+		s.Total.P50, s.Total.P95, s.Total.P99, s.First.P50, s.First.P95, s.First.P99)
+}
+
 func row(w io.Writer, length, name string, l *LengthResult) {
 	wrong := l.Outcomes[OutcomeWrong] + l.Outcomes[OutcomeIncomplete] + l.Outcomes[OutcomeUnverified]
 	f, b := l.FirstToken, l.Between
@@ -160,9 +171,10 @@
 // when no result has values.
 func cdf(title, length string, pick func(*LengthResult) Series, results []Named) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "requests or tokens above, share", "ms"
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "percentile", "ms"
 	p.X.Scale, p.Y.Scale = plot.InvertedScale{Normalizer: plot.LogScale{}}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.X.Tick.Marker, p.Y.Tick.Marker = shareTicks, plot.TickerFunc(latencyTicks)
+	p.Add(plotter.NewGrid())
 	p.Legend.Top, p.Legend.Left = true, true
 	drawn := false
 	for i, r := range results {
@@ -189,6 +201,30 @@
 	return p, nil
 }
 
+// shareTicks label the share above a percentile with the percentile.
+var shareTicks = plot.ConstantTicks{
+	{Value: 0.9, Label: "p10"},
+	{Value: 0.5, Label: "p50"},
+	{Value: 0.1, Label: "p90"},
+	{Value: 0.05, Label: "p95"},
+	{Value: 0.01, Label: "p99"},
+	{Value: 0.001, Label: "p99.9"},
+	{Value: 0.0001, Label: "p99.99"},
+}
+
+// latencyTicks are 1, 2 and 5 times the powers of ten.
+func latencyTicks(low, high float64) []plot.Tick {
+	var out []plot.Tick
+	for power := math.Pow(10, math.Floor(math.Log10(low))); power <= high; power *= 10 {
+		for _, digit := range []float64{1, 2, 5} {
+			if v := digit * power; v >= low && v <= high {
+				out = append(out, plot.Tick{Value: v, Label: strconv.FormatFloat(v, 'g', 6, 64)})
+			}
+		}
+	}
+	return out
+}
+
 // curvePoints is the number of percentiles drawn, evenly spread over the logarithm of the share above them.
 const curvePoints = 200
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -116,8 +116,12 @@
 }
 
 func (e *editor) Write(p []byte) (int, error) {
-	_, err := e.ResponseWriter.Write([]byte(e.edit(string(p))))
-	return len(p), err
+	for event := range strings.SplitAfterSeq(string(p), "\n\n") {
+		if _, err := e.ResponseWriter.Write([]byte(e.edit(event))); err != nil {
+			return 0, err
+		}
+	}
+	return len(p), nil
 }
 
 func (e *editor) Unwrap() http.ResponseWriter { return e.ResponseWriter }
