--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -62,7 +62,7 @@
 
 // Client calls engines. Errors are of type *Error. Methods honour the context's deadline.
 type Client interface {
-	// Start sends a request and returns when the engine has accepted or refused it.
+	// Start sends a request and returns when the engine has accepted or refused it. The stream ends with ctx.
 	Start(ctx context.Context, address string, req Request) (Stream, error)
 	// Cancel ends a request whose attempt is at most the given one. An unknown request is no error.
 	Cancel(ctx context.Context, address, id string, attempt int) error
--- a/internal/engine/fake.go
+++ b/internal/engine/fake.go
@@ -31,6 +31,8 @@
 	Reservations map[string]Reservation
 }
 
+var _ Client = (*Fake)(nil)
+
 // NewFake returns a fake without engines.
 func NewFake() *Fake { return &Fake{engines: map[string]*FakeEngine{}} }
 
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -36,6 +36,8 @@
 	fresh   *http.Transport
 }
 
+var _ Client = (*HTTP)(nil)
+
 // NewHTTP returns a client. silence is how long an engine may send no byte; 0 means DefaultSilence.
 func NewHTTP(silence time.Duration) *HTTP {
 	if silence <= 0 {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,6 +190,36 @@
 	require.Equal(t, map[string]int{OutcomeIncomplete: res.Requests}, res.Outcomes)
 }
 
+// Guards against repeats that the service cannot tell from new calls, and against keys that a later run repeats.
+func TestServiceCalls(t *testing.T) {
+	mix := testMix()
+	mix.Classes, mix.Bursts = nil, nil
+	mix.Services = []Service{{Route: "bells", Path: "/a", Method: http.MethodPost, Share: 1, NonIdempotent: true, Repeats: 1}}
+	var mu sync.Mutex
+	calls := map[string]int{}
+	service := func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.URL.Path != "/services/bells/a" || !strings.HasPrefix(r.Header.Get("Authorization"), "Bearer ") {
+				w.WriteHeader(http.StatusNotFound)
+			}
+			calls[r.Header.Get("Idempotency-Key")]++
+		})
+	}
+	requests := 0
+	for range 2 {
+		res := run(t, mix, false, service)
+		require.Equal(t, map[string]int{OutcomeComplete: res.Requests}, res.Outcomes)
+		require.EqualValues(t, res.Requests, res.Lengths[LengthService].Total.Count)
+		requests += res.Requests
+	}
+	require.Len(t, calls, requests)
+	for _, n := range calls {
+		require.Equal(t, 2, n)
+	}
+}
+
 // Guards against example mixes that the tool does not read, and a mix with several faults reported one at a time.
 func TestMixFiles(t *testing.T) {
 	paths, err := filepath.Glob("../../examples/mixes/*.json")
