Replay recorded sessions of the gate, close unused connections, measure

Cause: a review of the shell found a one-call connection left open when its context ended before use, a silence timer left running when net/http replaced a broken pooled connection, and refusals of requests with a cursor that said not_run although a former gate may have run them.

Ruled out: a codec in package gatecore, because package golden imports testing; gatecore.Types lists the values instead.

Before: these faults; no check that real sessions replay.

--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
 
@@ -16,12 +17,13 @@
 	arrived := g.now()
 	f, p := g.prepareChat(w, r, arrived)
 	if p != nil {
-		g.reject(w, p)
+		g.reject(w, r, p)
 		return
 	}
+	w.Header().Set(engine.HeaderRequestID, f.requestID)
 	sink := g.newSink(w, f)
 	if sink == nil {
-		g.reject(w, notRun(gatecore.CodeBackendFailed, "no random source"))
+		g.reject(w, r, notRun(gatecore.CodeBackendFailed, "no random source"))
 		return
 	}
 	g.admit(f, gatecore.RequestArrived{
@@ -140,7 +142,7 @@
 func (g *Gate) models(w http.ResponseWriter, r *http.Request) {
 	id, p := g.identify(r)
 	if p != nil {
-		g.reject(w, p)
+		g.reject(w, r, p)
 		return
 	}
 	list := struct {
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -102,7 +102,7 @@
 	case gatecore.SetTimer:
 		g.setTimer(g.flights[e.Request], e)
 	case gatecore.Refuse:
-		g.endWith(e.Request, e.Code, ending{kind: endFail, failure: e.Failure, refused: true})
+		g.endWith(e.Request, e.Code, ending{kind: endFail, failure: e.Failure})
 	case gatecore.Fail:
 		g.endWith(e.Request, e.Code, ending{kind: endFail, failure: e.Failure})
 	case gatecore.Disconnect:
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -129,8 +129,8 @@
 			_ = conn.Close() // unused
 			return name, gatecore.CauseClaimLapsed
 		}
+		defer func() { _ = conn.Close() }() // net/http leaves it open when the context ends before its use
 		transport := onceTransport(conn)
-		defer transport.CloseIdleConnections()
 		return name, g.exchange(f, a, server, transport, a.ctx)
 	}
 	return "", gatecore.CauseConnectFailed
@@ -149,6 +149,10 @@
 	transport := g.services
 	if pooled := e.HasNext && e.Attempt == 1; pooled {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+			if a.silence != nil {
+				a.silence.Stop() // net/http left a broken pooled connection for this one
+				a.silence = nil
+			}
 			if c.Reused {
 				a.silence = g.opts.Clock.AfterFunc((f.deadline-g.now()).Duration()/2, cancel)
 			}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -95,7 +95,8 @@
 }
 
 // Shutdown refuses new requests and waits until the open ones have ended and their claims and grants are settled. When
-// ctx ends first, it cuts off what is left and returns the context's error.
+// ctx ends first, it cuts off what is left and returns the context's error. The HTTP server must go on serving
+// meanwhile and be shut down afterwards, so that the last errors are written.
 func (g *Gate) Shutdown(ctx context.Context) error {
 	g.step(gatecore.ShutdownStarted{Now: g.now()})
 	done := make(chan struct{})
@@ -107,6 +108,7 @@
 	select {
 	case <-done:
 		g.stop()
+		g.services.CloseIdleConnections()
 		return nil
 	case <-ctx.Done():
 		g.stop()
@@ -161,11 +163,14 @@
 }
 
 func (g *Gate) notFound(w http.ResponseWriter, r *http.Request) {
-	g.reject(w, notRun(gatecore.CodeRouteNotFound, r.Method+" "+r.URL.Path+" is not offered"))
+	g.reject(w, r, notRun(gatecore.CodeRouteNotFound, r.Method+" "+r.URL.Path+" is not offered"))
 }
 
-// reject answers a request that did not reach the reducer.
-func (g *Gate) reject(w http.ResponseWriter, p *problem) {
+// reject answers a request that did not reach the reducer. A request with a cursor may have run at a former gate.
+func (g *Gate) reject(w http.ResponseWriter, r *http.Request, p *problem) {
+	if p.Run == gatecore.RunNot && r.Header.Get(headerLastEventID) != "" {
+		p.Run = gatecore.RunUnknown
+	}
 	g.tally.ended(p.Code)
 	g.opts.Log.Info("request rejected", "code", p.Code, "run", p.Run, "reason", p.Message)
 	p.write(w)
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -17,13 +17,15 @@
 	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/cursor"
+	"github.com/carobstile/carobstile/internal/gatecore"
+	"github.com/carobstile/carobstile/internal/golden"
 )
 
 const testKey = "sk-trust"
 
 // fixture is a gate with fakes behind a test server.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	doc     *config.Document
 	grants  *FakeGrants
 	engines *FakeEngines
@@ -31,6 +33,9 @@
 	crashes *FakeCrashes
 	gate    *Gate
 	server  *httptest.Server
+	// session records what the reducer did.
+	session bytes.Buffer
+	codec   *golden.Codec
 }
 
 func testDocument() *config.Document {
@@ -42,7 +47,7 @@
 	}
 }
 
-func newFixture(t *testing.T, change func(*fixture)) *fixture {
+func newFixture(t testing.TB, change func(*fixture)) *fixture {
 	t.Helper()
 	f := &fixture{t: t, doc: testDocument(), claims: &FakeClaims{}, crashes: &FakeCrashes{}}
 	f.grants = &FakeGrants{Engines: []*pb.GrantedEngine{
@@ -52,12 +57,13 @@
 	if change != nil {
 		change(f)
 	}
+	f.codec = golden.NewCodec(gatecore.Types()...)
 	keys, err := cursor.NewKeyring([][]byte{bytes.Repeat([]byte{7}, cursor.KeyBytes)})
 	require.NoError(t, err)
 	index := config.NewIndex(1, f.doc)
 	f.gate = New(Options{
 		Config: func() *config.Index { return index }, Grants: f.grants, Engines: f.engines, Claims: f.claims,
-		Crashes: f.crashes, Cursors: keys,
+		Crashes: f.crashes, Cursors: keys, Observe: f.record,
 	})
 	f.server = httptest.NewServer(f.gate.Handler())
 	t.Cleanup(f.close)
@@ -74,6 +80,33 @@
 	require.Zero(f.t, held, "grants still held")
 	require.Empty(f.t, faults)
 	require.Zero(f.t, f.gate.OpenStreams())
+	f.checkReplay()
+}
+
+func (f *fixture) record(event gatecore.Event, effects []gatecore.Effect) {
+	if _, ok := f.t.(*testing.T); ok { // not in benchmarks
+		require.NoError(f.t, golden.NewRecorder(&f.session, f.codec).Record(event, anyEffects(effects)))
+	}
+}
+
+// checkReplay guards against a reducer whose behaviour depends on anything but its events: what the gate did under
+// concurrency replays byte for byte.
+func (f *fixture) checkReplay() {
+	f.gate.mu.Lock()
+	defer f.gate.mu.Unlock()
+	c := gatecore.New()
+	got, err := golden.Replay(f.session.Bytes(), f.codec, func(event any) []any {
+		return anyEffects(c.Step(event.(gatecore.Event)))
+	})
+	require.NoError(f.t, err)
+	require.Equal(f.t, f.session.String(), string(got))
+}
+
+func anyEffects(effects []gatecore.Effect) (out []any) {
+	for _, e := range effects {
+		out = append(out, e)
+	}
+	return out
 }
 
 func (f *fixture) request(method, path, body string, headers ...string) *http.Request {
--- a/internal/gate/outbox.go
+++ b/internal/gate/outbox.go
@@ -34,8 +34,6 @@
 	kind    endKind
 	finish  gatecore.Finish
 	failure gatecore.Failure
-	// refused is true when nothing was sent to the caller before.
-	refused bool
 }
 
 // outbox holds the tokens of one request between the reducer and the goroutine that writes to the caller. The engine's
--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -178,6 +178,9 @@
 	resp, body = other.chat(streamedBody, headerLastEventID, id)
 	requireError(t, resp, body, 400, "cursor_invalid", "unknown")
 
+	resp, body = f.chat(streamedBody, headerLastEventID, id, "Authorization", "Bearer wrong")
+	requireError(t, resp, body, 401, "unauthorized", "unknown")
+
 	newer := newFixture(t, func(f *fixture) { f.doc.Models[0].Version = "2" })
 	resp, body = newer.chat(streamedBody, headerLastEventID, id)
 	requireError(t, resp, body, 400, "cursor_invalid", "run")
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
@@ -55,9 +56,10 @@
 	arrived := g.now()
 	f, p := g.prepareCall(w, r, arrived)
 	if p != nil {
-		g.reject(w, p)
+		g.reject(w, r, p)
 		return
 	}
+	w.Header().Set(engine.HeaderRequestID, f.requestID)
 	route := f.call.route
 	g.admit(f, gatecore.RequestArrived{
 		Now: g.now(), Kind: gatecore.KindService, Workspace: f.identity.workspace.Name,
--- /dev/null
+++ b/internal/gatecore/types.go
@@ -0,0 +1,41 @@
+package gatecore
+
+// Types returns a zero value of every event and effect, for golden.NewCodec.
+func Types() []any {
+	return []any{
+		RequestArrived{},
+		ClaimResult{},
+		GrantResult{},
+		StreamOpened{},
+		Frame{},
+		Heartbeat{},
+		StreamEnded{},
+		ServiceAnswered{},
+		ServiceEnded{},
+		CallerBlocked{},
+		CallerReady{},
+		CallerGone{},
+		CallerSlow{},
+		AnswerWritten{},
+		TimerFired{},
+		ShutdownStarted{},
+		Refuse{},
+		Fail{},
+		Disconnect{},
+		AcquireClaim{},
+		ReleaseClaim{},
+		RecordOutcome{},
+		ReplayOutcome{},
+		AskGrant{},
+		ReleaseGrant{},
+		OpenStream{},
+		CancelStream{},
+		CallService{},
+		ForwardAnswer{},
+		SendToken{},
+		Finish{},
+		SetTimer{},
+		ReportCrash{},
+		Closed{},
+	}
+}
