--- a/internal/gate/callers_test.go
+++ b/internal/gate/callers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -144,6 +145,38 @@
 	require.NoError(t, <-stopped)
 }
 
+// Guards against a stop that waits for ever, and leaves grants behind, when a request does not end in time.
+func TestShutdownCutsOffWhatIsLeft(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = func(EngineCall) ([]FakeStep, error) { return []FakeStep{{Hang: true}}, nil }
+	})
+	conn := f.dialChat("")
+	defer func() { _ = conn.Close() }()
+	f.eventuallyOpen(1, second)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, f.gate.Shutdown(ctx), context.DeadlineExceeded)
+	require.Zero(t, f.gate.OpenStreams())
+	_, cancels := f.engines.Calls()
+	require.Equal(t, []int{1}, cancels)
+}
+
+// Guards against a caller that holds a handler for longer than its deadline by sending its body slowly.
+func TestSlowBodyIsRefused(t *testing.T) {
+	f := newFixture(t, nil)
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: gate\r\nAuthorization: Bearer %s\r\n"+
+		"X-Carobstile-Deadline-Ms: 150\r\nContent-Length: 100\r\n\r\n{", testKey)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	requireError(t, resp, body, 408, "deadline_passed", "not_run")
+}
+
 // Guards against a workspace that takes more than its share of a gate.
 func TestConcurrentRequestsAreBounded(t *testing.T) {
 	f := newFixture(t, func(f *fixture) {
--- a/internal/gate/deliver.go
+++ b/internal/gate/deliver.go
@@ -23,92 +23,110 @@
 	heartbeat() error
 }
 
+// delivery is the work of one handler: it writes to the caller until the request has ended.
+type delivery struct {
+	gate      *Gate
+	request   *http.Request
+	flight    *flight
+	sink      sink
+	set       func(time.Time) // sets the connection's write deadline
+	heartbeat *time.Ticker
+	// quiet is true when nothing was written since the last tick of heartbeat.
+	quiet bool
+}
+
 // deliver writes to the caller until the request has ended.
 func (g *Gate) deliver(w http.ResponseWriter, r *http.Request, f *flight, s sink) {
 	rc := http.NewResponseController(w)
-	// Writers without deadlines (test recorders) never block.
-	set := func(at time.Time) { _ = rc.SetWriteDeadline(at) }
-	complete := g.deliverAll(r, f, s, set)
-	f.out.disarm(func(time.Time) {})
+	d := &delivery{
+		gate: g, request: r, flight: f, sink: s, heartbeat: time.NewTicker(g.heartbeatInterval),
+		// Writers without deadlines (test recorders) never block.
+		set: func(at time.Time) { _ = rc.SetWriteDeadline(at) },
+	}
+	defer d.heartbeat.Stop()
+	complete := d.run()
+	f.out.disarm()
 	if !complete {
 		// Cuts the connection: the caller must not take its orderly end for the end of the answer.
 		panic(http.ErrAbortHandler)
 	}
-	set(zeroTime)
+	d.set(zeroTime)
 }
 
-// deliverAll returns true when the answer or its error has been written whole.
-func (g *Gate) deliverAll(r *http.Request, f *flight, s sink, set func(time.Time)) bool {
+// run returns true when the answer or its error has been written whole.
+func (d *delivery) run() bool {
 	buf := make([]gatecore.SendToken, 0, batchTokens)
-	heartbeat := time.NewTicker(g.heartbeatInterval)
-	defer heartbeat.Stop()
-	quiet := true
 	for {
-		batch, end := f.out.peek(buf)
-		if len(batch) > 0 || end.kind != endNone {
-			quiet = false
-		}
+		batch, end := d.flight.out.peek(buf)
 		switch {
 		case len(batch) > 0:
-			f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
-			if err := s.tokens(batch); err != nil {
-				return g.writeFailed(f, err)
+			if err := d.write(func() error { return d.sink.tokens(batch) }); err != nil {
+				return d.failed(err)
 			}
-			f.out.taken(len(batch))
+			d.flight.out.taken(len(batch))
 		case end.kind == endDrop:
 			return false
 		case end.kind != endNone:
-			f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
-			return g.writeEnd(f, s, end)
+			return d.writeEnd(end)
 		default:
-			select {
-			case <-f.out.wake:
-			case chunk := <-s.parts():
-				f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
-				if err := s.part(chunk); err != nil {
-					return g.writeFailed(f, err)
-				}
-			case <-r.Context().Done():
-				g.step(gatecore.CallerGone{Now: g.now(), Request: f.handle})
-				return false
-			case <-heartbeat.C:
-				if !quiet {
-					quiet = true
-					continue
-				}
-				f.out.armWrite(g.opts.Clock.Now(), g.writeTimeout, set)
-				if err := s.heartbeat(); err != nil {
-					return g.writeFailed(f, err)
-				}
+			if err := d.wait(); err != nil {
+				return d.failed(err)
 			}
 		}
 	}
 }
 
-// writeEnd writes the end of the request and tells the reducer.
-func (g *Gate) writeEnd(f *flight, s sink, end ending) bool {
-	var err error
-	switch end.kind {
-	case endFinish:
-		err = s.finish(end.finish)
-	case endReplay:
-		err = g.replay(f, s)
-	default:
-		err = s.fail(end)
+// write does a write under the write deadline.
+func (d *delivery) write(f func() error) error {
+	d.quiet = false
+	d.flight.out.armWrite(d.gate.opts.Clock.Now(), d.gate.writeTimeout, d.set)
+	return f()
+}
+
+// wait waits for something to write, and writes parts of plain services' answers and heartbeats.
+func (d *delivery) wait() error {
+	select {
+	case <-d.flight.out.wake:
+		return nil
+	case chunk := <-d.sink.parts():
+		return d.write(func() error { return d.sink.part(chunk) })
+	case <-d.request.Context().Done():
+		return d.request.Context().Err()
+	case <-d.heartbeat.C:
+		var err error
+		if d.quiet {
+			err = d.write(d.sink.heartbeat)
+		}
+		d.quiet = true
+		return err
 	}
+}
+
+// writeEnd writes the end of the request and tells the reducer.
+func (d *delivery) writeEnd(end ending) bool {
+	err := d.write(func() error {
+		switch end.kind {
+		case endFinish:
+			return d.sink.finish(end.finish)
+		case endReplay:
+			return d.gate.replay(d.flight, d.sink)
+		default:
+			return d.sink.fail(end)
+		}
+	})
 	if err != nil {
-		return g.writeFailed(f, err)
+		return d.failed(err)
 	}
-	g.step(gatecore.AnswerWritten{Now: g.now(), Request: f.handle})
+	d.gate.step(gatecore.AnswerWritten{Now: d.gate.now(), Request: d.flight.handle})
 	return true
 }
 
-// writeFailed tells the reducer that the caller left or reads too slowly.
-func (g *Gate) writeFailed(f *flight, err error) bool {
+// failed tells the reducer that the caller left or reads too slowly.
+func (d *delivery) failed(err error) bool {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		g.step(gatecore.CallerSlow{Now: g.now(), Request: f.handle})
+		d.gate.step(gatecore.CallerSlow{Now: d.gate.now(), Request: d.flight.handle})
 		return false
 	}
-	g.step(gatecore.CallerGone{Now: g.now(), Request: f.handle})
+	d.gate.step(gatecore.CallerGone{Now: d.gate.now(), Request: d.flight.handle})
 	return false
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,11 +113,30 @@
 		g.services.CloseIdleConnections()
 		return nil
 	case <-ctx.Done():
-		g.stop()
+		g.cutOff(done)
 		return errors.Wrap(ctx.Err(), "requests were still open")
 	}
 }
 
+// cutOffGrace is the time that engines and the platform have to hear of requests that are cut off.
+const cutOffGrace = time.Second
+
+// cutOff ends all open requests as if their callers had left, then everything that is still under way.
+func (g *Gate) cutOff(done <-chan struct{}) {
+	g.mu.Lock()
+	for _, h := range slices.Sorted(maps.Keys(g.flights)) {
+		g.stepLocked(gatecore.CallerGone{Now: g.now(), Request: h})
+	}
+	g.mu.Unlock()
+	grace := time.NewTimer(cutOffGrace)
+	defer grace.Stop()
+	select {
+	case <-done:
+	case <-grace.C:
+	}
+	g.stop()
+}
+
 // now returns the time of the reducer: the wall clock of the start plus the monotonic time since, so that steps of the
 // wall clock move no deadline.
 func (g *Gate) now() core.Micros {
--- a/internal/gate/outbox.go
+++ b/internal/gate/outbox.go
@@ -128,9 +128,8 @@
 }
 
 // disarm ends the use of the caller's connection; it must precede the return of the handler.
-func (o *outbox) disarm(set func(time.Time)) {
+func (o *outbox) disarm() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.interrupt = nil
-	set(time.Time{})
 }
--- a/internal/gatecore/effects.go
+++ b/internal/gatecore/effects.go
@@ -10,23 +10,23 @@
 
 // Error codes.
 const (
-	CodeInvalidRequest       Code = "invalid_request"
-	CodeCursorInvalid        Code = "cursor_invalid"
-	CodeUnauthorized         Code = "unauthorized"
-	CodeModelNotFound        Code = "model_not_found"
-	CodeRouteNotFound        Code = "route_not_found"
-	CodeDeadlinePassed       Code = "deadline_passed"
-	CodeTooLarge             Code = "too_large"
-	CodeKeyReused            Code = "key_reused"
-	CodeRequestCrashes       Code = "request_crashes_servers"
-	CodeOverloaded           Code = "overloaded"
-	CodeBackendFailed        Code = "backend_failed"
-	CodeShuttingDown         Code = "shutting_down"
-	CodePlatformUnavailable  Code = "platform_unavailable"
-	CodeNoBackendServer      Code = "no_backend_server"
-	CodeOutcomeUnknown       Code = "outcome_unknown"
-	CodeDeadlineExceeded     Code = "deadline_exceeded"
-	defaultStatusOfErrorCode      = 500
+	CodeInvalidRequest      Code = "invalid_request"
+	CodeCursorInvalid       Code = "cursor_invalid"
+	CodeUnauthorized        Code = "unauthorized"
+	CodeModelNotFound       Code = "model_not_found"
+	CodeRouteNotFound       Code = "route_not_found"
+	CodeDeadlinePassed      Code = "deadline_passed"
+	CodeTooLarge            Code = "too_large"
+	CodeKeyReused           Code = "key_reused"
+	CodeRequestCrashes      Code = "request_crashes_servers"
+	CodeOverloaded          Code = "overloaded"
+	CodeBackendFailed       Code = "backend_failed"
+	CodeShuttingDown        Code = "shutting_down"
+	CodePlatformUnavailable Code = "platform_unavailable"
+	CodeNoBackendServer     Code = "no_backend_server"
+	CodeOutcomeUnknown      Code = "outcome_unknown"
+	CodeDeadlineExceeded    Code = "deadline_exceeded"
+	statusOfUnknownCode          = 500
 )
 
 var statusOfCode = map[Code]int{
@@ -41,7 +41,7 @@
 	if s, ok := statusOfCode[c]; ok {
 		return s
 	}
-	return defaultStatusOfErrorCode
+	return statusOfUnknownCode
 }
 
 // Run says whether a backend server may have run a request.
