Check the claim window at the first byte of a call that runs at most once

Cause: the window was checked after the connection was made, and a pause between that check and the first write would have sent a call under a lapsed claim. A call that ended before a byte was written counted as possibly run.

Ruled out: checking once more before RoundTrip, because net/http writes in a goroutine of its own. Marking a server as refusing when the dial ended with the request's context: it says nothing about the server.

Before: checked after the dial. After: the connection of the call checks the claim in its first Write and knows whether a byte was sent; once it is shut, nothing can be written.

--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -75,7 +75,9 @@
 }
 
 // readBodyBefore reads a whole body within the time of the request.
-func (g *Gate) readBodyBefore(w http.ResponseWriter, r *http.Request, limit int, deadline core.Micros) ([]byte, *problem) {
+func (g *Gate) readBodyBefore(
+	w http.ResponseWriter, r *http.Request, limit int, deadline core.Micros,
+) ([]byte, *problem) {
 	limitRead := g.limitBodyTime(w, deadline)
 	body, p := readBody(w, r, limit)
 	if p == nil {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -74,25 +74,6 @@
 	}
 }
 
-// onceTransport returns a transport for one call over an established connection. net/http sends a request with an
-// Idempotency-Key again when a reused connection breaks; here there is no reuse and no second connection.
-func onceTransport(conn net.Conn) *http.Transport {
-	var used sync.Once
-	return &http.Transport{
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			err := errors.New("a call that runs at most once has one connection")
-			used.Do(func() { err = nil })
-			if err != nil {
-				return nil, err
-			}
-			return conn, nil
-		},
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeadBytes,
-	}
-}
-
 // runCall performs gatecore.CallService.
 func (g *Gate) runCall(f *flight, a *attempt, e gatecore.CallService) {
 	g.tally.attempt(gatecore.KindService)
@@ -111,31 +92,6 @@
 	g.step(ended)
 }
 
-// callOnce connects to the first server that accepts and sends the call there, if its claim is still valid.
-func (g *Gate) callOnce(f *flight, a *attempt, e gatecore.CallService) (string, gatecore.Cause) {
-	for _, name := range e.Servers {
-		server, ok := f.identity.index.Server(name)
-		if !ok {
-			continue
-		}
-		dialer := net.Dialer{Timeout: dialTimeout}
-		conn, err := dialer.DialContext(a.ctx, "tcp", server.Address)
-		if err != nil {
-			g.route.refuse(name, g.now())
-			continue
-		}
-		// The claim window is by the wall clock and is checked after the last wait before the first byte.
-		if core.At(g.opts.Clock.Now()) >= e.ValidUntil {
-			_ = conn.Close() // unused
-			return name, gatecore.CauseClaimLapsed
-		}
-		defer func() { _ = conn.Close() }() // net/http leaves it open when the context ends before its use
-		transport := onceTransport(conn)
-		return name, g.exchange(f, a, server, transport, a.ctx)
-	}
-	return "", gatecore.CauseConnectFailed
-}
-
 // callAgain sends an idempotent call. A pooled connection can have gone silent while new ones work: only a first
 // attempt that another server can follow takes one, and it waits for the head of the answer for half of the time left.
 func (g *Gate) callAgain(f *flight, a *attempt, e gatecore.CallService) gatecore.Cause {
@@ -147,7 +103,7 @@
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
 	transport := g.services
-	if pooled := e.HasNext && e.Attempt == 1; pooled {
+	if e.HasNext && e.Attempt == 1 {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
 			if a.silence != nil {
 				a.silence.Stop() // net/http left a broken pooled connection for this one
@@ -161,15 +117,17 @@
 		transport = newServiceTransport()
 		transport.DisableKeepAlives = true
 	}
-	cause := g.exchange(f, a, server, transport, ctx)
-	if cause == gatecore.CauseConnectFailed {
+	cause := g.exchange(ctx, f, a, server, transport)
+	if cause == gatecore.CauseConnectFailed && a.ctx.Err() == nil {
 		g.route.refuse(name, g.now())
 	}
 	return cause
 }
 
 // exchange sends the call and hands the answer to the caller's goroutine.
-func (g *Gate) exchange(f *flight, a *attempt, server *config.BackendServer, transport http.RoundTripper, ctx context.Context) gatecore.Cause {
+func (g *Gate) exchange(
+	ctx context.Context, f *flight, a *attempt, server *config.BackendServer, transport http.RoundTripper,
+) gatecore.Cause {
 	req, err := g.serviceRequest(ctx, f, server.Address)
 	if err != nil {
 		return gatecore.CauseConnectFailed
@@ -193,7 +151,7 @@
 	case <-ctx.Done():
 		return gatecore.CauseLost
 	}
-	return g.copyAnswer(f, ctx, body)
+	return g.copyAnswer(ctx, f, body)
 }
 
 func (g *Gate) serviceRequest(ctx context.Context, f *flight, address string) (*http.Request, error) {
@@ -249,7 +207,7 @@
 
 // copyAnswer hands the body to the caller's goroutine in chunks and keeps a copy for the claim. When the caller has
 // left, a call that runs at most once is still read to its end, for its outcome.
-func (g *Gate) copyAnswer(f *flight, ctx context.Context, body io.Reader) gatecore.Cause {
+func (g *Gate) copyAnswer(ctx context.Context, f *flight, body io.Reader) gatecore.Cause {
 	call := f.call
 	record := &ServiceOutcome{Status: call.status, Header: call.head}
 	bufs := [2][]byte{make([]byte, chunkBytes), make([]byte, chunkBytes)}
--- a/internal/gate/service_test.go
+++ b/internal/gate/service_test.go
@@ -358,3 +358,31 @@
 		requireError(t, resp, body, 504, "deadline_exceeded", run)
 	}
 }
+
+// Guards against a byte that is sent after the claim lapsed or after the gate has called the request not run.
+func TestOnceConnSendsOnlyUnderAValidClaim(t *testing.T) {
+	valid := false
+	newConn := func() *onceConn {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		return &onceConn{Conn: near, valid: func() bool { return valid }}
+	}
+	c := newConn()
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, errNotSent)
+	require.Equal(t, onceLapsed, c.shut())
+
+	valid = true
+	c = newConn()
+	require.Equal(t, onceUnused, c.shut())
+	_, err = c.Write([]byte("x"))
+	require.ErrorIs(t, err, errNotSent)
+
+	c = newConn()
+	_, err = c.Write([]byte("x"))
+	require.NoError(t, err)
+	valid = false // the window is that of the dispatch, not of the whole call
+	_, err = c.Write([]byte("y"))
+	require.NoError(t, err)
+	require.Equal(t, onceBegun, c.shut())
+}
--- a/internal/gate/sink.go
+++ b/internal/gate/sink.go
@@ -51,7 +51,9 @@
 	begun    bool
 }
 
-func newStreamSink(w http.ResponseWriter, f *flight, sealer *cursor.Sealer, engineOf func(*flight, int) string) *streamSink {
+func newStreamSink(
+	w http.ResponseWriter, f *flight, sealer *cursor.Sealer, engineOf func(*flight, int) string,
+) *streamSink {
 	m := f.model
 	s := &streamSink{w: w, rc: http.NewResponseController(w), f: f, sealer: sealer, engineOf: engineOf}
 	s.cursor = cursor.Cursor{
