--- a/internal/gate/outbox.go
+++ b/internal/gate/outbox.go
@@ -34,8 +34,6 @@
 	kind    endKind
 	finish  gatecore.Finish
 	failure gatecore.Failure
-	// refused is true when nothing was sent to the caller before.
-	refused bool
 }
 
 // outbox holds the tokens of one request between the reducer and the goroutine that writes to the caller. The engine's
@@ -130,9 +128,8 @@
 }
 
 // disarm ends the use of the caller's connection; it must precede the return of the handler.
-func (o *outbox) disarm(set func(time.Time)) {
+func (o *outbox) disarm() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.interrupt = nil
-	set(time.Time{})
 }
