--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,36 @@
 	credentials peer.Credentials
 	store       *memoryStore
 	daemons     []*daemon
+	// bytes of all calls between daemons, below TLS.
+	bytes atomic.Uint64
+}
+
+// countingListener counts the bytes of all accepted connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Uint64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{Conn: conn, bytes: l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n))
+	return n, err
 }
 
 // daemon is membership and configuration of one daemon on loopback sockets.
@@ -73,7 +104,7 @@
 	configuration := New(Options{Self: self, Seed: uint64(n), Store: c.store, Peers: pool, Members: members, Log: evlog.Discard()})
 	server, err := peer.NewServer(c.credentials, peer.Handlers{Members: members, Config: configuration}, clock)
 	require.NoError(t, err)
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(countingListener{Listener: listener, bytes: &c.bytes}) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = members.Run(ctx) })
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/membercore"
 	"github.com/carobstile/carobstile/internal/peer"
@@ -203,3 +208,39 @@
 	daemons[0].AddRecords([]membercore.Record{{Fingerprint: []byte("0123456789abcdef"), Engine: "e1/3", Made: daemons[0].clock.Now()}})
 	require.Eventually(t, func() bool { return records.Load() == 7 && generations.Load() >= 7 }, 4*time.Second, 10*time.Millisecond)
 }
+
+// Guards against packets that the transport refuses as too large when names are long and much is to be passed on.
+func TestLargestPacketFits(t *testing.T) {
+	long := func(i int) membercore.Member {
+		return membercore.Member{
+			Name: fmt.Sprintf("%0120d", i), Address: fmt.Sprintf("[2001:db8:1111:2222:3333:4444:5555:%04x]:65535", i),
+			Region: strings.Repeat("r", 20), FailureDomain: strings.Repeat("f", 69), Incarnation: math.MaxInt64, State: membercore.Suspect,
+		}
+	}
+	now := core.Micros(math.MaxInt64 / 2)
+	c := membercore.New(long(0), 1)
+	c.Step(membercore.Started{Now: now})
+	var records []membercore.Record
+	var effects []membercore.Effect
+	for i := range 20 {
+		packet := membercore.Packet{Kind: membercore.Probe, Sequence: math.MaxInt64, Sender: long(i + 1)}
+		effects = append(effects, c.Step(membercore.PacketReceived{Now: now, Packet: packet})...)
+		records = append(records, membercore.Record{Fingerprint: make([]byte, 16), Engine: fmt.Sprintf("%0100d", i), Made: now})
+	}
+	c.Step(membercore.GenerationSet{Now: now, Generation: math.MaxInt64})
+	effects = append(effects, c.Step(membercore.RecordsAdded{Now: now, Records: records})...)
+	target := long(1)
+	effects = append(effects, c.Step(membercore.PacketReceived{Now: now, Packet: membercore.Packet{
+		Kind: membercore.IndirectProbe, Sender: long(2), Sequence: math.MaxInt64, Target: &target,
+	}})...)
+	packets := 0
+	for _, effect := range effects {
+		if e, ok := effect.(membercore.SendPacket); ok {
+			packet := packetToProto(e.Packet)
+			packet.Clock = &pb.Clock{WallMicros: math.MaxInt64, Counter: math.MaxUint32}
+			require.LessOrEqual(t, proto.Size(packet), peer.MaxPlainBytes)
+			packets++
+		}
+	}
+	require.Greater(t, packets, 20)
+}
--- a/internal/peer/udp.go
+++ b/internal/peer/udp.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -12,6 +13,8 @@
 	"github.com/carobstile/carobstile/internal/evlog"
 )
 
+const readErrorPause = time.Millisecond
+
 // Counters count the traffic of a UDP transport since its start.
 type Counters struct {
 	SentPackets, SentBytes         uint64
@@ -80,7 +83,9 @@
 			return nil
 		}
 		if err != nil {
-			// Errors of a UDP socket concern earlier packets (for example an unreachable port) and do not end it.
+			// Errors of a UDP socket concern earlier packets (for example an unreachable port) and do not end it. The
+			// pause keeps one that lasts from using a whole core.
+			time.Sleep(readErrorPause)
 			continue
 		}
 		packet, err := u.open(buffer[:n])
