Name the served model version in answers and cursors; measure time to first token

Cause: a cursor carried the configured model version, while engines may still serve the former one during an upgrade, so a resumed answer could mix two versions. The engine's system fingerprint now decides: it is forwarded to callers, sealed into the cursor, and asked for again on every further attempt. Ruled out: refusing such resumes, which would cut off answers at every upgrade.

Before: version mix possible.

--- a/internal/daemon/engines.go
+++ b/internal/daemon/engines.go
@@ -60,7 +60,8 @@
 	}
 	stream, err := e.client.Start(ctx, call.Address, engine.Request{
 		ID: call.RequestID, Attempt: call.Attempt, ResumeFrom: call.ResumeFrom, Seed: call.Seed, Priority: call.Priority,
-		Group: addresses(call.Helpers), DeadlineMs: call.Deadline.Milliseconds(), ReserveTokens: call.Reserve,
+		Version: call.Version,
+		Group:   addresses(call.Helpers), DeadlineMs: call.Deadline.Milliseconds(), ReserveTokens: call.Reserve,
 		Body: call.Body, NewConnection: call.Attempt > 1,
 	})
 	if err != nil {
@@ -145,8 +146,9 @@
 
 // gateStream offers engine.Stream to the gate.
 type gateStream struct {
-	stream  engine.Stream
-	release func()
+	stream      engine.Stream
+	release     func()
+	versionSeen bool
 }
 
 // Recv implements gate.EngineStream.
@@ -159,10 +161,24 @@
 		return gate.EngineEvent{}, io.EOF
 	}
 	return gate.EngineEvent{
+		Version:   s.version(frame),
 		Heartbeat: frame.Heartbeat, Attempt: frame.Attempt, Offset: frame.Offset, Text: frame.Content, Finish: frame.Finish,
 	}, nil
 }
 
+// version returns the model version with the first frame that names it, then nothing.
+func (s *gateStream) version(frame engine.Frame) string {
+	if s.versionSeen || frame.Fingerprint == "" {
+		return ""
+	}
+	s.versionSeen = true
+	version, _, err := engine.ParseFingerprint(frame.Fingerprint)
+	if err != nil {
+		return ""
+	}
+	return version
+}
+
 // Close implements gate.EngineStream.
 func (s *gateStream) Close() error {
 	s.release()
--- a/internal/devdeploy/devdeploy.go
+++ b/internal/devdeploy/devdeploy.go
@@ -13,12 +13,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/console"
 	"github.com/carobstile/carobstile/internal/controller"
 	"github.com/carobstile/carobstile/internal/daemon"
 	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/fakeengine"
 	"github.com/carobstile/carobstile/internal/fakeplatform"
 	"github.com/carobstile/carobstile/internal/fakeservice"
+	"github.com/carobstile/carobstile/internal/password"
 	"github.com/carobstile/carobstile/internal/peer"
 )
 
@@ -29,6 +31,9 @@
 	// CallerKey and OtherKey are bearer keys of two callers. They are for development only.
 	CallerKey = "dev-key-trust"
 	OtherKey  = "dev-key-norrvik"
+	// Operator signs in to the console with OperatorPassword. They are for development only.
+	Operator         = "dev"
+	OperatorPassword = "dev-password"
 	// BellsRoute is a non-idempotent plain service, StatusRoute an idempotent one.
 	BellsRoute  = "bells"
 	StatusRoute = "status"
@@ -37,6 +42,8 @@
 const (
 	certificateValidity = 30 * 24 * time.Hour
 	fileMode            = 0o600
+	// passwordIterations is low, because the password is published here.
+	passwordIterations = 100_000
 	// Offsets of ports from the base port.
 	platformPort = 0
 	servicePort  = 1
@@ -111,6 +118,7 @@
 	w.standIns()
 	w.engines()
 	w.hosts()
+	w.console()
 	w.document()
 	w.file("processes.json", w.d.Processes)
 	return w.d, w.err
@@ -176,6 +184,20 @@
 	}
 }
 
+func (w *writer) console() {
+	hash, err := password.New(OperatorPassword, passwordIterations)
+	w.note(err)
+	s := console.Settings{
+		Address: w.address(consolePort), PlatformAddress: w.d.Platform,
+		Operators: []console.Operator{{Name: Operator, PasswordHash: hash.String()}},
+	}
+	for _, h := range w.d.Hosts {
+		s.Admin = append(s.Admin, h.Admin)
+	}
+	w.d.Console = s.Address
+	w.process("console", "carobconsole", s)
+}
+
 // seeds are the first two hosts, so that the loss of one seed does not keep a new daemon out.
 func (w *writer) seeds() []string {
 	var out []string
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -40,6 +40,8 @@
 	// Finish is FinishStop or FinishLength in the finish frame, which has no token.
 	Finish string
 	Usage  *Usage
+	// Fingerprint is the chunk's system fingerprint, see ParseFingerprint.
+	Fingerprint string
 	// Data is the chunk as received.
 	Data []byte
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -149,6 +149,7 @@
 		return Frame{}, s.protocol("chunk with %d choices", len(chunk.Choices))
 	}
 	f.Content = chunk.Choices[0].Delta.Content
+	f.Fingerprint = chunk.SystemFingerprint
 	f.Usage = chunk.Usage
 	if reason := chunk.Choices[0].FinishReason; reason != nil {
 		f.Finish = *reason
--- /dev/null
+++ b/internal/gate/affinity_test.go
@@ -0,0 +1,25 @@
+package gate
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/config"
+)
+
+// Guards against an affinity that depends on the prompt beyond its first 1,024 bytes, which would send questions about
+// one document to different pools, or that ignores the first ones.
+func TestAffinityCoversTheStartOfThePrompt(t *testing.T) {
+	affinity := func(prompt string) uint64 {
+		m := &modelRequest{model: &config.Model{Name: "m1"}}
+		id := identity{workspace: &config.Workspace{Name: "w"}}
+		require.Nil(t, m.setPrompt(id, []chatMessage{{Role: "user", Content: prompt}}))
+		return m.affinity
+	}
+	start := strings.Repeat("a", affinityBytes)
+	require.Equal(t, affinity(start+"x"), affinity(start+"y"))
+	require.NotEqual(t, affinity(start), affinity("b"+start[1:]))
+	require.NotEqual(t, affinity(start), affinity(start[1:]+"b"))
+}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -95,6 +95,7 @@
 	g.tally.attempt(gatecore.KindModel)
 	stream, err := g.opts.Engines.Open(a.ctx, EngineCall{
 		Address: a.address, RequestID: f.requestID, Attempt: e.Attempt, ResumeFrom: e.ResumeFrom, Seed: f.model.seed,
+		Version:  g.servedVersion(f, ""),
 		Priority: f.identity.caller.Priority, Helpers: a.helpers, Deadline: (f.deadline - g.now()).Duration(),
 		Reserve: a.reserve, Body: f.model.body,
 	})
@@ -123,6 +124,9 @@
 			g.step(gatecore.Heartbeat{Now: g.now(), Request: f.handle, Attempt: a.number})
 			continue
 		}
+		if ev.Version != "" {
+			g.servedVersion(f, ev.Version)
+		}
 		g.step(gatecore.Frame{
 			Now: g.now(), Request: f.handle, Attempt: ev.Attempt, Offset: ev.Offset, Text: ev.Text, Finish: ev.Finish,
 		})
@@ -135,6 +139,16 @@
 	}
 }
 
+// servedVersion returns the model version of the answer, and sets it if it is not known yet.
+func (g *Gate) servedVersion(f *flight, version string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f.model.served == "" {
+		f.model.served = version
+	}
+	return f.model.served
+}
+
 // waitForRoom waits until the caller has read, so that no more than outboxTokens wait for it.
 func (g *Gate) waitForRoom(f *flight, a *attempt) {
 	g.step(gatecore.CallerBlocked{Now: g.now(), Request: f.handle})
--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/carobstile/carobstile/internal/core"
@@ -54,7 +55,7 @@
 		return nil, p
 	}
 	m.created = int64(arrived / core.Second)
-	f := &flight{identity: id, model: m, deadline: deadline}
+	f := &flight{identity: id, model: m, arrived: arrived, deadline: deadline}
 	if p := g.identifyAnswer(f, r); p != nil {
 		return nil, p
 	}
@@ -122,11 +123,13 @@
 	if err := c.Check(f.identity.caller.Name, m.bodyHash, g.now()); err != nil {
 		return invalid
 	}
-	if c.Model != m.name() || c.Version != m.version {
+	served, adapterVersion, _ := strings.Cut(c.Version, "/")
+	if c.Model != m.name() || adapterVersion != m.adapterVersion {
 		invalid.Run = gatecore.RunDone
-		invalid.Message = headerLastEventID + ": the model version of the answer is no longer served"
+		invalid.Message = headerLastEventID + ": the adapter version of the answer is no longer served"
 		return invalid
 	}
+	m.served = served
 	f.requestID, f.deadline = c.RequestID, c.Deadline
 	m.seed, m.delivered, m.preferred = c.Seed, c.Delivered, c.Engine
 	m.firstAttempt = c.Attempt + gatecore.MaxAttemptNumbers
--- a/internal/gate/deliver.go
+++ b/internal/gate/deliver.go
@@ -33,6 +33,8 @@
 	heartbeat *time.Ticker
 	// quiet is true when nothing was written since the last tick of heartbeat.
 	quiet bool
+	// first is true once tokens were written.
+	first bool
 }
 
 // deliver writes to the caller until the request has ended.
@@ -64,6 +66,7 @@
 				return d.failed(err)
 			}
 			d.flight.out.taken(len(batch))
+			d.noteFirst()
 		case end.kind == endDrop:
 			return false
 		case end.kind != endNone:
@@ -76,6 +79,14 @@
 	}
 }
 
+// noteFirst records the time to first token, once per answer that was not begun by another gate.
+func (d *delivery) noteFirst() {
+	if f := d.flight; !d.first && f.model != nil && f.model.delivered == 0 {
+		d.gate.tally.firstToken(f.model.promptTokens, (d.gate.now() - f.arrived).Duration())
+	}
+	d.first = true
+}
+
 // write does a write under the write deadline.
 func (d *delivery) write(f func() error) error {
 	d.quiet = false
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -27,7 +27,9 @@
 	cancel context.CancelFunc
 	// Exactly one of model and call is set.
 	model *modelRequest
-	call  *serviceCall
+	// arrived is when the request's headers were read.
+	arrived core.Micros
+	call    *serviceCall
 
 	// The fields below are guarded by Gate.mu.
 	timers   map[gatecore.TimerKind]Timer
--- a/internal/gate/fakes.go
+++ b/internal/gate/fakes.go
@@ -102,11 +102,16 @@
 	cancels []int
 }
 
+// FakeVersion is the model version that FakeAnswer names.
+const FakeVersion = "served-version"
+
 // FakeAnswer returns the steps of a whole answer of n tokens, from the call's ResumeFrom. Token i is "<i> ".
 func FakeAnswer(call EngineCall, n int) []FakeStep {
 	var steps []FakeStep
 	for i := call.ResumeFrom; i < n; i++ {
-		steps = append(steps, FakeStep{Event: EngineEvent{Attempt: call.Attempt, Offset: i, Text: fmt.Sprintf("%d ", i)}})
+		steps = append(steps, FakeStep{Event: EngineEvent{
+			Attempt: call.Attempt, Offset: i, Text: fmt.Sprintf("%d ", i), Version: FakeVersion,
+		}})
 	}
 	return append(steps, FakeStep{Event: EngineEvent{Attempt: call.Attempt, Offset: n, Finish: "stop"}})
 }
--- a/internal/gate/options.go
+++ b/internal/gate/options.go
@@ -83,7 +83,9 @@
 	Attempt    int
 	ResumeFrom int
 	Seed       uint64
-	Priority   int
+	// Version of the model that has given the tokens delivered so far; empty when there are none.
+	Version  string
+	Priority int
 	// Helpers are the helping engines of a prompt that needs several.
 	Helpers  []Helper
 	Deadline time.Duration
@@ -106,6 +108,8 @@
 	Attempt   int
 	Offset    int
 	Text      string
+	// Version is the model version that answers, if the engine says so.
+	Version string
 	// Finish is the finish reason of the last event.
 	Finish string
 }
--- a/internal/gate/parse.go
+++ b/internal/gate/parse.go
@@ -57,8 +57,12 @@
 	stream      bool
 	model       *config.Model
 	adapter     string
-	// version names the versions of model and adapter; a resumed answer needs the same ones.
-	version      string
+	// adapterVersion is the configured one; a resumed answer needs the same.
+	adapterVersion string
+	// served is the model version that has given the tokens so far, empty before the first. While a new version is
+	// loaded it differs from the configured one, and no answer may mix the two. It is guarded by Gate.mu once the
+	// request is admitted.
+	served       string
 	promptTokens int
 	prefixHashes []uint64
 	affinity     uint64
@@ -142,7 +146,7 @@
 	if !allowed {
 		return notRun(gatecore.CodeModelNotFound, fmt.Sprintf("model %q is not offered to the caller", name)).at("model")
 	}
-	m.model, m.adapter, m.version = model, adapter, model.Version
+	m.model, m.adapter = model, adapter
 	if adapter == "" {
 		return nil
 	}
@@ -150,7 +154,7 @@
 	if at < 0 {
 		return notRun(gatecore.CodeModelNotFound, fmt.Sprintf("model %q has no such adapter", name)).at("model")
 	}
-	m.version += "/" + model.Adapters[at].Version
+	m.adapterVersion = model.Adapters[at].Version
 	return nil
 }
 
--- a/internal/gate/sink.go
+++ b/internal/gate/sink.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/carobstile/carobstile/internal/cursor"
+	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
 
@@ -25,17 +26,17 @@
 	if err != nil {
 		return nil
 	}
-	return newStreamSink(w, f, sealer, g.engineOf)
+	return newStreamSink(w, f, sealer, g.servedBy)
 }
 
-// engineOf returns the name of the engine that serves an attempt.
-func (g *Gate) engineOf(f *flight, number int) string {
+// servedBy returns the name of the engine that serves an attempt, and the model version of the answer.
+func (g *Gate) servedBy(f *flight, number int) (engine, version string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if a := f.attempts[number]; a != nil {
-		return a.engine
+		engine = a.engine
 	}
-	return ""
+	return engine, f.model.served
 }
 
 // streamSink writes server-sent events, each with a cursor as its id.
@@ -44,7 +45,7 @@
 	rc       *http.ResponseController
 	f        *flight
 	sealer   *cursor.Sealer
-	engineOf func(*flight, int) string
+	servedBy func(*flight, int) (engine, version string)
 	cursor   cursor.Cursor
 	head     []byte // of a chunk, up to the delta's content
 	buf      []byte
@@ -52,23 +53,34 @@
 }
 
 func newStreamSink(
-	w http.ResponseWriter, f *flight, sealer *cursor.Sealer, engineOf func(*flight, int) string,
+	w http.ResponseWriter, f *flight, sealer *cursor.Sealer, servedBy func(*flight, int) (engine, version string),
 ) *streamSink {
 	m := f.model
-	s := &streamSink{w: w, rc: http.NewResponseController(w), f: f, sealer: sealer, engineOf: engineOf}
+	s := &streamSink{w: w, rc: http.NewResponseController(w), f: f, sealer: sealer, servedBy: servedBy}
 	s.cursor = cursor.Cursor{
 		RequestID: f.requestID, Caller: f.identity.caller.Name, BodyHash: m.bodyHash, Delivered: m.delivered,
-		Model: m.name(), Version: m.version, Seed: m.seed, Engine: m.preferred, Attempt: m.firstAttempt,
+		Model: m.name(), Seed: m.seed, Engine: m.preferred, Attempt: m.firstAttempt,
 		Deadline: f.deadline,
 	}
-	s.head = append(s.head, `data: {"id":`...)
-	s.head = appendJSON(s.head, "chatcmpl-"+f.requestID)
+	return s
+}
+
+// setVersion completes what depends on the model version, which is known with the first token.
+func (s *streamSink) setVersion(version string) {
+	m := s.f.model
+	s.cursor.Version = version
+	if m.adapterVersion != "" {
+		s.cursor.Version += "/" + m.adapterVersion
+	}
+	s.head = append(s.head[:0], `data: {"id":`...)
+	s.head = appendJSON(s.head, "chatcmpl-"+s.f.requestID)
 	s.head = append(s.head, `,"object":"chat.completion.chunk","created":`...)
 	s.head = strconv.AppendInt(s.head, m.created, 10)
 	s.head = append(s.head, `,"model":`...)
 	s.head = appendJSON(s.head, m.name())
+	s.head = append(s.head, `,"system_fingerprint":`...)
+	s.head = appendJSON(s.head, engine.Fingerprint(version, m.seed))
 	s.head = append(s.head, `,"choices":[{"index":0,"delta":`...)
-	return s
 }
 
 // appendJSON appends a string as JSON.
@@ -102,8 +114,10 @@
 
 // appendID starts an event with its cursor.
 func (s *streamSink) appendID(attempt, delivered int) {
-	if s.cursor.Attempt != attempt || s.cursor.Engine == "" {
-		s.cursor.Engine = s.engineOf(s.f, attempt)
+	if s.cursor.Attempt != attempt || s.cursor.Engine == "" || s.head == nil {
+		name, version := s.servedBy(s.f, attempt)
+		s.cursor.Engine = name
+		s.setVersion(version)
 	}
 	s.cursor.Attempt, s.cursor.Delivered = attempt, delivered
 	s.buf = append(s.buf, "id: "...)
