Let short prompts pass long ones on engines that prefill side by side

Two faults: an engine's whole backlog counted as a wait, though engines batch continuously and a short prompt waits only for as much of each other prompt as it has itself; and a report replaced the estimated backlog, so that grants of the last second counted as undone. The estimate now tracks the jobs of each engine and is kept within what a report allows.

--- a/internal/alloccore/bench_test.go
+++ b/internal/alloccore/bench_test.go
@@ -18,14 +18,10 @@
 		configs = append(configs, EngineConfig{Name: fmt.Sprint("e", i), KVTokens: 400_000, PrefillRate: 20_000, DecodeRate: 50})
 	}
 	c.Step(PoolConfigured{Now: 1, Engines: configs, QueueLimit: 1_000, CrashLimit: 3})
-	for i := range engines {
-		c.Step(EngineReported{Now: 1, Engine: fmt.Sprint("e", i), Load: engine.Load{
-			Incarnation: "i", State: engine.StateReady, Models: []engine.LoadedModel{{Name: "m"}},
-		}})
-	}
+	reportEngines(c, 1)
 	for len(c.queue.byAsk) < queued {
 		ask++
-		for _, e := range c.Step(benchAsk(ask)) {
+		for _, e := range c.Step(benchAsk(1, ask)) {
 			if g, ok := e.(Granted); ok {
 				ids = append(ids, g.GrantID)
 			}
@@ -34,29 +30,44 @@
 	return c, ids, ask
 }
 
-func benchAsk(ask uint64) GrantAsked {
+func reportEngines(c *Core, now core.Micros) {
+	for _, e := range c.engines {
+		c.Step(EngineReported{Now: now, AskedAt: now, Engine: e.cfg.Name, Load: engine.Load{
+			Incarnation: "i", State: engine.StateReady, Models: []engine.LoadedModel{{Name: "m"}},
+		}})
+	}
+}
+
+func benchAsk(now core.Micros, ask uint64) GrantAsked {
 	prompt := 3_000
 	if ask%10 == 0 {
 		prompt = 20_000
 	}
-	return GrantAsked{Now: 1, Ask: ask, Request: Request{
+	return GrantAsked{Now: now, Ask: ask, Request: Request{
 		Workspace: fmt.Sprint("w", ask%50), Priority: int(ask % 10), Model: "m", PromptTokens: prompt, MaxOutputTokens: 1_000,
 		MaxWait: core.Hour, PrefixHashes: []uint64{ask % 50, ask, ask + 1}, PrefixBlock: 256,
 	}}
 }
 
-// BenchmarkStep measures one release, which grants the next request, and one new request, on full engines.
+// BenchmarkStep measures one release, which grants the next request, and one new request, on full engines. Time passes as
+// fast as the engines prefill, and they report once a second.
 func BenchmarkStep(b *testing.B) {
 	for _, engines := range []int{2, 6, 12} {
 		for _, queued := range []int{10, 100, 500} {
 			b.Run(fmt.Sprintf("engines=%d/queued=%d", engines, queued), func(b *testing.B) {
 				c, ids, ask := saturated(b, engines, queued)
 				b.ReportAllocs()
+				now, reported := core.Micros(1), core.Micros(0)
 				for b.Loop() {
-					effects := c.Step(GrantReleased{Now: 1, GrantID: ids[0], Outcome: OutcomeComplete})
+					now += 300 * core.Millisecond / core.Micros(engines)
+					if now-reported >= core.Second {
+						reported = now
+						reportEngines(c, now)
+					}
+					effects := c.Step(GrantReleased{Now: now, GrantID: ids[0], Outcome: OutcomeComplete})
 					ids = ids[1:]
 					ask++
-					effects = append(effects, c.Step(benchAsk(ask))...)
+					effects = append(effects, c.Step(benchAsk(now, ask))...)
 					for _, e := range effects {
 						if g, ok := e.(Granted); ok {
 							ids = append(ids, g.GrantID)
--- a/internal/alloccore/engine.go
+++ b/internal/alloccore/engine.go
@@ -246,7 +246,7 @@
 	// Memory that no running request explains, such as reservations; cached blocks are evicted on demand.
 	unlisted := load.KVTokensUsed - load.KVTokensCached - e.committed - endedTokens
 	e.foreign = max(unknown, unlisted, 0)
-	e.work.correct(e.report, e.unseenPrefill(shown))
+	e.work.correct(e.report, e.unseenPrefill(shown), e.rate())
 }
 
 // endedSince drops what reports no longer lag behind and returns the rest.
--- a/internal/alloccore/grants.go
+++ b/internal/alloccore/grants.go
@@ -75,7 +75,7 @@
 	e.prefixes.record(x.req.PrefixHashes)
 	if g.mode == modeSolo {
 		e.trial = g
-		g.trialUntil = now + spanOf(e.work.backlog, e.rate()) + trialLimit
+		g.trialUntil = now + spanOf(e.work.backlog(), e.rate()) + trialLimit
 	}
 }
 
--- a/internal/alloccore/policy.go
+++ b/internal/alloccore/policy.go
@@ -45,6 +45,10 @@
 	// PrefillShares bounds the prefill time of each class by its share and holds work back in the queue while an engine
 	// has PrefillHorizon of it left.
 	PrefillShares bool `json:"prefillShares"`
+	// PrefillSpread lets each class prefill only on its share of the pool's engines at a time.
+	PrefillSpread bool `json:"prefillSpread"`
+	// SharedPrefill takes engines to prefill their requests side by side; without it, one after another.
+	SharedPrefill bool `json:"sharedPrefill"`
 	// Groups lets a prompt take several engines.
 	Groups bool `json:"groups"`
 	// HeadReservation keeps memory for the first request that does not fit.
@@ -88,7 +92,7 @@
 	return Policy{
 		Picker:         PickBestScore,
 		Classes:        [classes]ClassRule{{4_000, 1.0}, {100_000, 0.8}, {0, 0.5}},
-		OwnCommitments: true, MemoryShares: true, PrefillShares: true, Groups: true, HeadReservation: true,
+		OwnCommitments: true, MemoryShares: true, PrefillShares: true, PrefillSpread: true, SharedPrefill: true, Groups: true, HeadReservation: true,
 		PrefixAffinity: true, AdapterLocality: true, EngineQueue: true, Priorities: true, Aging: true,
 		FairQueuing: true, EarlyRefusal: true, SuspectsApart: true, SoloTrials: true, WarmUp: true, CoolDown: true,
 		AffinityCap: 32_000, PrefillHorizon: 250 * core.Millisecond, AgingStep: 3 * core.Second,
--- a/internal/alloccore/prefill.go
+++ b/internal/alloccore/prefill.go
@@ -1,6 +1,10 @@
 package alloccore
 
-import "github.com/carobstile/carobstile/internal/core"
+import (
+	"slices"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
 
 const (
 	// rateWeight is the weight of a new observation in the moving average of an engine's prefill rate.
@@ -10,19 +14,88 @@
 	rateBound = 4.0
 )
 
-// prefillWork estimates the prefill work that an engine has left.
+// minRetry is the shortest span after which blocked work is tried again.
+const minRetry = 10 * core.Millisecond
+
+// prefillJob is the prefill work of one grant.
+type prefillJob struct {
+	class Class
+	// left is in tokens.
+	left float64
+}
+
+// prefillWork estimates the prefill work that an engine has left. Engines batch continuously, so the jobs are taken to
+// share the engine's rate equally.
 type prefillWork struct {
-	at core.Micros
-	// backlog is all work, debt the work of each class that counts against its share; tokens.
-	backlog float64
-	debt    [classes]float64
+	at   core.Micros
+	jobs []prefillJob
+	// foreign is reported work that no job explains, in tokens.
+	foreign float64
+	// debt is the work of each class that counts against its share, in tokens.
+	debt [classes]float64
 	// rate is the observed prefill rate in tokens a second, 0 before the first observation.
 	rate float64
 	// added is the work granted since the last report, in tokens.
 	added int
 }
 
-// rateOf returns the prefill rate to reckon with, in tokens a second.
+// backlog returns all work left, in tokens.
+func (w *prefillWork) backlog() float64 {
+	out := w.foreign
+	for i := range w.jobs {
+		out += w.jobs[i].left
+	}
+	return out
+}
+
+// ahead returns the work done before a new job of some tokens is done: of each other job as much as of the new one.
+func (w *prefillWork) ahead(tokens float64) float64 {
+	out := min(w.foreign, tokens)
+	for i := range w.jobs {
+		out += min(w.jobs[i].left, tokens)
+	}
+	return out
+}
+
+// prefills reports whether work of a class or a longer one is left.
+func (w *prefillWork) prefills(class Class) bool {
+	return slices.ContainsFunc(w.jobs, func(j prefillJob) bool { return j.class >= class })
+}
+
+// drain takes work off all jobs equally; what the jobs that end do not need goes to the others.
+func (w *prefillWork) drain(work float64) {
+	for work > 0 && len(w.jobs) > 0 {
+		least := w.jobs[0].left
+		for i := range w.jobs {
+			least = min(least, w.jobs[i].left)
+		}
+		sharers := float64(len(w.jobs))
+		if w.foreign > 0 {
+			sharers++
+		}
+		part := min(least, work/sharers)
+		work -= part * sharers
+		w.foreign = max(0, w.foreign-part)
+		w.takeOff(part)
+		if part < least {
+			return
+		}
+	}
+	w.foreign = max(0, w.foreign-work)
+}
+
+// takeOff takes the same work off each job and drops those that are done.
+func (w *prefillWork) takeOff(part float64) {
+	kept := w.jobs[:0]
+	for _, j := range w.jobs {
+		if j.left -= part; j.left > 0 {
+			kept = append(kept, j)
+		}
+	}
+	w.jobs = kept
+}
+
+// rate returns the prefill rate to reckon with, in tokens a second.
 func (e *engineState) rate() float64 {
 	if e.work.rate > 0 {
 		return e.work.rate
@@ -37,7 +110,7 @@
 		return
 	}
 	done := e.rate() * seconds(now-w.at)
-	w.backlog = max(0, w.backlog-done)
+	w.drain(done)
 	for c := range w.debt {
 		w.debt[c] = max(0, w.debt[c]-done*p.Classes[c].Share)
 	}
@@ -49,7 +122,9 @@
 // charge adds the work of a grant.
 func (e *engineState) charge(p *Policy, now core.Micros, class Class, tokens int) {
 	e.advance(p, now)
-	e.work.backlog += float64(tokens)
+	if tokens > 0 {
+		e.work.jobs = append(e.work.jobs, prefillJob{class, float64(tokens)})
+	}
 	e.work.debt[class] += float64(tokens)
 	e.work.added += tokens
 }
@@ -57,7 +132,7 @@
 // backlogTime returns the span until all work is done.
 func (e *engineState) backlogTime(p *Policy, now core.Micros) core.Micros {
 	e.advance(p, now)
-	return spanOf(e.work.backlog, e.rate())
+	return spanOf(e.work.backlog(), e.rate())
 }
 
 // debtTime returns the span until a class has used up what it was given of its share.
@@ -92,10 +167,26 @@
 	w.rate += rateWeight * (seen - w.rate)
 }
 
-// correct replaces the estimated backlog by the reported one and the work too young to be in it. Work of the shortest
-// class is dropped from its debt when the engine has done it; longer classes keep theirs, because finishing ahead of
-// its share does not entitle long work to more.
-func (w *prefillWork) correct(report *EngineReported, unseen int) {
-	w.backlog = float64(report.Load.QueuedPrefillTokens + unseen)
-	w.debt[ClassShort] = min(w.debt[ClassShort], w.backlog)
+// correct keeps the estimated backlog within what a report allows: at most the reported work and the grants too young to
+// be in it, and at least what is left of the reported work if the report lags. Replacing the estimate by the report
+// would count young grants as undone that the engine has long finished. Work of the shortest class is dropped from its
+// debt when the engine has done it; longer classes keep theirs, because finishing ahead of its share does not entitle
+// long work to more.
+func (w *prefillWork) correct(report *EngineReported, unseen int, rate float64) {
+	queued, total := float64(report.Load.QueuedPrefillTokens), w.backlog()
+	if least := queued - rate*seconds(reportLag); total < least {
+		w.foreign += least - total
+	}
+	if most := queued + float64(unseen); total > most {
+		w.scale(most / total)
+	}
+	w.debt[ClassShort] = min(w.debt[ClassShort], w.backlog())
+}
+
+func (w *prefillWork) scale(factor float64) {
+	w.foreign *= factor
+	for i := range w.jobs {
+		w.jobs[i].left *= factor
+	}
+	w.takeOff(0)
 }
--- a/internal/alloccore/scorers.go
+++ b/internal/alloccore/scorers.go
@@ -45,8 +45,13 @@
 	return spanOf(float64(k.cached+k.uncached), k.engine.rate())
 }
 
+// engineQueue is the span that the work of others takes before the prefill ends.
 func engineQueue(c *Core, now core.Micros, _ *entry, k *candidate) core.Micros {
-	return k.engine.backlogTime(&c.policy, now)
+	if !c.policy.SharedPrefill {
+		return k.engine.backlogTime(&c.policy, now)
+	}
+	k.engine.advance(&c.policy, now)
+	return spanOf(k.engine.work.ahead(float64(k.uncached)), k.engine.rate())
 }
 
 func prefixAffinity(c *Core, _ core.Micros, _ *entry, k *candidate) core.Micros {
