Drop timers of answered requests and tolerate clock differences of deadlines

Cause: the shell kept a timer for every request that had waited, so its memory grew with each; a request whose gate's clock is up to a second ahead could be refused although it was in time; each call of Pools polled all engines, also without a new pool. Grants and refusals are now logged for the timeline. Ruled out: converting deadlines by the hybrid clock of the message, which runs ahead itself.

Before: timers of answered requests were kept until they fired, and their entries for ever.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -87,10 +87,11 @@
 // their waiting requests refused, so that the gates turn to the new allocator.
 func (a *Allocator) Pools(assigned []string, index *config.Index) {
 	keep := make(map[string]bool, len(assigned))
+	created := false
 	for _, name := range assigned {
 		if place, ok := index.Pool(name); ok {
 			keep[name] = true
-			a.configure(place, index.Limits)
+			created = a.configure(place, index.Limits) || created
 		}
 	}
 	for _, p := range a.snapshot() {
@@ -98,30 +99,39 @@
 			a.drop(p)
 		}
 	}
+	if created {
+		a.pollNow()
+	}
+}
+
+// pollNow polls new pools without waiting for the next second.
+func (a *Allocator) pollNow() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (a *Allocator) configure(place *config.Pool, limits config.Limits) {
-	p, leaving := a.ensure(place.Name)
+// configure reports whether the pool is new.
+func (a *Allocator) configure(place *config.Pool, limits config.Limits) bool {
+	p, created, leaving := a.ensure(place.Name)
 	p.configure(place, limits)
 	if leaving {
 		p.close(alloccore.CodeLeaving)
 	}
+	return created
 }
 
-func (a *Allocator) ensure(name string) (*pool, bool) {
+func (a *Allocator) ensure(name string) (p *pool, created, leaving bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := a.pools[name]
-	if p == nil {
-		p = newPool(name, a)
-		a.pools[name] = p
-		a.opts.Log.Info("pool assigned", "pool", name)
+	if p = a.pools[name]; p != nil {
+		return p, false, a.leaving
 	}
-	return p, a.leaving
+	p = newPool(name, a)
+	a.pools[name] = p
+	a.opts.Log.Info("pool assigned", "pool", name)
+	return p, true, a.leaving
 }
 
 func (a *Allocator) drop(p *pool) {
--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -9,6 +9,7 @@
 	"github.com/carobstile/carobstile/internal/alloccore"
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/evlog"
 )
 
 // pool drives the reducer of one pool.
@@ -65,10 +66,12 @@
 	switch e := effect.(type) {
 	case alloccore.Granted:
 		p.answer(e.Ask, grantedResponse(e))
-		p.a.opts.Log.Debug("granted", "request", e.RequestID, "pool", p.name, "grant", e.GrantID, "engine", e.Engines[0].Engine)
+		p.a.opts.Log.Info("granted", evlog.KeyRequest, e.RequestID, "pool", p.name, "grant", e.GrantID,
+			"engine", e.Engines[0].Engine, "engines", len(e.Engines))
 	case alloccore.Refused:
 		p.answer(e.Ask, refusal(e.Code, e.ExpectedWait))
-		p.a.opts.Log.Debug("refused", "request", e.RequestID, "pool", p.name, "code", string(e.Code))
+		p.a.opts.Log.Info("refused", evlog.KeyRequest, e.RequestID, "pool", p.name, "code", string(e.Code),
+			"wait", e.ExpectedWait.Duration().String())
 	case alloccore.Renewed:
 		p.answerRenewal(e)
 	case alloccore.SetTimer:
@@ -77,6 +80,7 @@
 }
 
 func (p *pool) answer(ask uint64, response *carobstilev1.GrantResponse) {
+	p.dropTimer(alloccore.AskTimer(ask))
 	if ch := p.asks[ask]; ch != nil {
 		ch <- response
 		delete(p.asks, ask)
@@ -94,15 +98,21 @@
 	if p.stopped {
 		return
 	}
-	if old := p.timers[e.Key]; old != nil {
-		old.Stop()
-	}
+	p.dropTimer(e.Key)
 	delay := (e.At - p.a.clock.now()).Duration()
 	p.timers[e.Key] = time.AfterFunc(delay, func() {
 		p.step(func(now core.Micros) alloccore.Event { return alloccore.TimerFired{Now: now, Key: e.Key} })
 	})
 }
 
+// dropTimer stops a timer if it is set.
+func (p *pool) dropTimer(key string) {
+	if t := p.timers[key]; t != nil {
+		t.Stop()
+		delete(p.timers, key)
+	}
+}
+
 func (p *pool) stopTimers() {
 	p.stateMu.Lock()
 	defer p.stateMu.Unlock()
@@ -158,6 +168,7 @@
 func (p *pool) abandon(ask uint64) {
 	p.stateMu.Lock()
 	delete(p.asks, ask)
+	p.dropTimer(alloccore.AskTimer(ask))
 	p.stateMu.Unlock()
 	p.step(func(now core.Micros) alloccore.Event { return alloccore.AskAbandoned{Now: now, Ask: ask} })
 }
--- a/internal/allocator/shell_test.go
+++ b/internal/allocator/shell_test.go
@@ -154,6 +154,11 @@
 	gates.Wait()
 	require.Zero(t, a.Status()[0].GetGrants())
 	require.Zero(t, a.Status()[0].GetQueued())
+	p := a.pool("p")
+	p.stateMu.Lock()
+	defer p.stateMu.Unlock()
+	require.Empty(t, p.asks)
+	require.LessOrEqual(t, len(p.timers), 3, "timers of answered requests are kept")
 }
 
 func oneRequest(t *testing.T, a *Allocator, id string) {
--- a/internal/alloccore/ask.go
+++ b/internal/alloccore/ask.go
@@ -6,6 +6,13 @@
 	"github.com/carobstile/carobstile/internal/core"
 )
 
+// clockTolerance is how far the clocks of the gate that set a deadline and of the allocator may differ. Deadlines are
+// enforced by the gate and by max waits, which are spans; here they only tell requests that are surely too late.
+const clockTolerance = core.Second
+
+// AskTimer returns the key of the timer that ends the wait of an ask. The timer is of no use once the ask is answered.
+func AskTimer(ask uint64) string { return timerAsk + strconv.FormatUint(ask, 10) }
+
 // asked checks a request and puts it into the queue; schedule then grants it if it is its turn.
 func (c *Core) asked(ev GrantAsked) {
 	x := c.newEntry(ev)
@@ -41,7 +48,7 @@
 	x.class = c.policy.classOf(x.uncached)
 	x.until = ev.Now + max(r.MaxWait, 0)
 	if r.Deadline > 0 {
-		x.until = min(x.until, max(ev.Now, r.Deadline-c.prefillSpan(x)))
+		x.until = min(x.until, max(ev.Now, r.Deadline+clockTolerance-c.prefillSpan(x)))
 	}
 	return x
 }
@@ -58,7 +65,7 @@
 	case c.open && len(c.serving(now, x)) == 0:
 		return CodeNoEngine
 	// The deadline passes before the first token even without a wait.
-	case c.policy.EarlyRefusal && x.req.Deadline > 0 && now+c.prefillSpan(x) > x.req.Deadline:
+	case c.policy.EarlyRefusal && x.req.Deadline > 0 && now+c.prefillSpan(x) > x.req.Deadline+clockTolerance:
 		return CodeOverloaded
 	default:
 		return ""
@@ -118,7 +125,7 @@
 		c.refuseWaiting(x, CodeOverloaded, wait)
 		return
 	}
-	c.emit(SetTimer{Key: timerAsk + strconv.FormatUint(x.ask, 10), At: x.until})
+	c.emit(SetTimer{Key: AskTimer(x.ask), At: x.until})
 }
 
 // refuseWaiting answers a request in the queue.
--- a/internal/grants/acquire.go
+++ b/internal/grants/acquire.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/evlog"
 )
 
 const (
@@ -189,6 +190,6 @@
 		priority: req.Priority, workspace: req.Workspace, since: time.Now(), lost: make(chan struct{}),
 	}
 	g.keep(grant)
-	g.opts.Log.Debug("grant accepted", "request", req.ID, "pool", pool, "wait", time.Since(asked).String())
+	g.opts.Log.Info("grant accepted", evlog.KeyRequest, req.ID, evlog.KeyAttempt, req.Attempt, "pool", pool, "wait", time.Since(asked).String())
 	return grant
 }
