End waits in the queue before the deadline, and test a change of allocator end to end

Cause: a new test of gate and allocators together showed that a request which waited until its deadline got a deadline error in place of the allocator's refusal, because both fell on the same instant. Ruled out: letting the call run on past the deadline, which the gate must enforce.

Before: 'context deadline exceeded'. After: the refusal arrives; a grant survives the change of allocator, its memory is not given twice, and its release frees it, under -race on synthetic time.

--- a/internal/grants/acquire.go
+++ b/internal/grants/acquire.go
@@ -12,6 +12,9 @@
 
 const (
 	defaultSpillWait = 100 * time.Millisecond
+	// answerMargin ends a wait in the queue this long before the deadline, so that the refusal still reaches the gate; it
+	// covers a round trip between regions.
+	answerMargin = 50 * time.Millisecond
 	// askMargin is what a call may take beyond its wait in the queue.
 	askMargin = time.Second
 )
@@ -117,7 +120,7 @@
 }
 
 func (a *attempt) ask(ctx context.Context, pool string, wait time.Duration) *Grant {
-	wait = min(wait, time.Until(a.req.Deadline))
+	wait = max(0, min(wait, time.Until(a.req.Deadline)-answerMargin))
 	ctx, cancel := context.WithTimeout(ctx, wait+askMargin)
 	defer cancel()
 	asked := time.Now()
@@ -144,7 +147,7 @@
 		Workspace: r.Workspace, Weight: r.Weight, Priority: r.Priority, Model: r.Model, Adapter: r.Adapter,
 		PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
 		PrefixHashes: r.PrefixHashes, PrefixBlockTokens: r.PrefixBlock,
-		DeadlineMicros: r.Deadline.UnixMicro(), MaxWaitMicros: max(wait, 0).Microseconds(),
+		DeadlineMicros: r.Deadline.UnixMicro(), MaxWaitMicros: wait.Microseconds(),
 		SuspectCount: r.SuspectCount, ExcludedEngines: r.Excluded,
 	}
 }
--- /dev/null
+++ b/internal/grants/handover_test.go
@@ -0,0 +1,105 @@
+package grants
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/allocator"
+	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/engine"
+)
+
+// directPeer calls the present allocator without a network.
+type directPeer struct {
+	current atomic.Pointer[allocator.Allocator]
+}
+
+func (p *directPeer) Grant(ctx context.Context, _ string, r *carobstilev1.GrantRequest) (*carobstilev1.GrantResponse, error) {
+	return p.current.Load().Grant(ctx, r)
+}
+
+func (p *directPeer) Renew(ctx context.Context, _ string, r *carobstilev1.RenewRequest) (*carobstilev1.RenewResponse, error) {
+	return p.current.Load().Renew(ctx, r)
+}
+
+func (p *directPeer) Release(ctx context.Context, _ string, r *carobstilev1.ReleaseRequest) (*carobstilev1.ReleaseResponse, error) {
+	return p.current.Load().Release(ctx, r)
+}
+
+func onePool() *config.Index {
+	return config.NewIndex(1, &config.Document{
+		Models: []config.Model{{Name: "m"}},
+		BackendServers: []config.BackendServer{{
+			Name: "e", Address: "127.0.0.1:1", Kind: config.KindEngine, Region: "r0", FailureDomain: "d0", Pool: "p",
+			KVTokens: 100_000, PrefillTokensPerSecond: 20_000,
+		}},
+	})
+}
+
+// start runs something until the end of the test.
+func start(t *testing.T, run func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a change of allocator that loses a running grant or gives its memory to another request: the new
+// allocator first counts it as foreign, then adopts it on renewal, and frees it on release.
+func TestGrantSurvivesChangeOfAllocator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loads := allocator.NewFakeLoads()
+		load := engine.Load{
+			Incarnation: "i", State: engine.StateReady, KVTokensTotal: 100_000, Models: []engine.LoadedModel{{Name: "m"}},
+		}
+		loads.Set("127.0.0.1:1", load)
+		first, second := allocator.New(allocator.Options{Loads: loads}), allocator.New(allocator.Options{Loads: loads})
+		peer := &directPeer{}
+		peer.current.Store(first)
+		g := New(Options{Gate: "gate", Place: here, Peer: peer})
+		g.Configure(onePool())
+		for _, run := range []func(context.Context) error{first.Run, second.Run, g.Run} {
+			start(t, run)
+		}
+		t.Cleanup(func() { second.Pools(nil, onePool()) })
+		first.Pools([]string{"p"}, onePool())
+		large := func(id string) *Request {
+			r := request(id)
+			r.PromptTokens, r.MaxOutputTokens = 1_000, 79_000
+			return r
+		}
+		grant, _, err := g.Acquire(t.Context(), large("r1"))
+		require.NoError(t, err)
+		require.NotNil(t, grant)
+		load.Running = []engine.RunningRequest{{RequestID: "r1", Attempt: 1, ReservedTokens: 80_000}}
+		loads.Set("127.0.0.1:1", load)
+
+		first.Leave()
+		first.Pools(nil, onePool())
+		second.Pools([]string{"p"}, onePool())
+		peer.current.Store(second)
+		_, refusal, err := g.Acquire(t.Context(), large("r2"))
+		require.NoError(t, err)
+		require.Equal(t, overloaded, refusal.Code)
+		time.Sleep(10 * time.Second)
+		require.EqualValues(t, 1, second.Status()[0].GetGrants(), "adopted")
+		g.Release(grant, carobstilev1.Outcome_OUTCOME_COMPLETE, 10)
+		load.Running = nil
+		loads.Set("127.0.0.1:1", load)
+		grant, _, err = g.Acquire(t.Context(), large("r3"))
+		require.NoError(t, err)
+		require.NotNil(t, grant)
+	})
+}
