--- a/internal/grants/acquire.go
+++ b/internal/grants/acquire.go
@@ -7,10 +7,14 @@
 	"github.com/cockroachdb/errors"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/evlog"
 )
 
 const (
 	defaultSpillWait = 100 * time.Millisecond
+	// answerMargin ends a wait in the queue this long before the deadline, so that the refusal still reaches the gate; it
+	// covers a round trip between regions.
+	answerMargin = 50 * time.Millisecond
 	// askMargin is what a call may take beyond its wait in the queue.
 	askMargin = time.Second
 )
@@ -116,7 +120,7 @@
 }
 
 func (a *attempt) ask(ctx context.Context, pool string, wait time.Duration) *Grant {
-	wait = min(wait, time.Until(a.req.Deadline))
+	wait = max(0, min(wait, time.Until(a.req.Deadline)-answerMargin))
 	ctx, cancel := context.WithTimeout(ctx, wait+askMargin)
 	defer cancel()
 	asked := time.Now()
@@ -143,7 +147,7 @@
 		Workspace: r.Workspace, Weight: r.Weight, Priority: r.Priority, Model: r.Model, Adapter: r.Adapter,
 		PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
 		PrefixHashes: r.PrefixHashes, PrefixBlockTokens: r.PrefixBlock,
-		DeadlineMicros: r.Deadline.UnixMicro(), MaxWaitMicros: max(wait, 0).Microseconds(),
+		DeadlineMicros: r.Deadline.UnixMicro(), MaxWaitMicros: wait.Microseconds(),
 		SuspectCount: r.SuspectCount, ExcludedEngines: r.Excluded,
 	}
 }
@@ -189,6 +193,6 @@
 		priority: req.Priority, workspace: req.Workspace, since: time.Now(), lost: make(chan struct{}),
 	}
 	g.keep(grant)
-	g.opts.Log.Debug("grant accepted", "request", req.ID, "pool", pool, "wait", time.Since(asked).String())
+	g.opts.Log.Info("grant accepted", evlog.KeyRequest, req.ID, evlog.KeyAttempt, req.Attempt, "pool", pool, "wait", time.Since(asked).String())
 	return grant
 }
