--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -144,7 +144,7 @@
 	}
 	engines := &gateEngines{client: engine.NewHTTP(0), owner: d.settings.Name, log: d.log}
 	d.gate = gate.New(gate.Options{
-		Name: d.settings.Name, Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
+		Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
 		Claims: d.claims, Crashes: d.crashes, Cursors: keyring, Leaving: d.leaving.contains, Log: d.log,
 		Scope: d.metrics.scope.SubScope("gate"),
 	})
