--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -72,16 +72,10 @@
 // Name returns the object name of the claim.
 func (h *Handle) Name() string { return h.name }
 
-// ValidUntil ends the window of dispatch, by the wall clock.
+// ValidUntil ends the window of dispatch. It must be checked directly before the dispatch, with the wall clock: a
+// monotonic clock may stand still while the host is suspended.
 func (h *Handle) ValidUntil() time.Time { return h.record.CreatedAtMicros.Time().Add(DispatchWindow) }
 
-// MayDispatch reports whether the claim still allows dispatch. It must be asked directly before the dispatch, with the
-// wall clock: a monotonic clock may stand still while the host is suspended.
-func (h *Handle) MayDispatch(now time.Time) bool {
-	age := core.At(now) - h.record.CreatedAtMicros
-	return age >= 0 && age < core.Span(DispatchWindow)
-}
-
 // Result of Acquire.
 type Result struct {
 	Decision Decision
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -145,11 +145,11 @@
 func TestPausedHolderMayNotDispatchAfterRetention(t *testing.T) {
 	f := newFixture()
 	paused := f.claims("a").Acquire(within(t, time.Second), "trust", "bell-1", "h")
-	require.True(t, paused.Handle.MayDispatch(time.UnixMicro(f.now.Load())))
+	require.True(t, paused.Handle.ValidUntil().After(time.UnixMicro(f.now.Load())))
 	f.now.Add((Retention + time.Minute).Microseconds())
 	next := f.claims("b").Acquire(within(t, time.Second), "trust", "bell-1", "h")
 	require.Equal(t, Dispatch, next.Decision, "an expired claim no longer blocks its key")
-	require.False(t, paused.Handle.MayDispatch(time.UnixMicro(f.now.Load())))
+	require.False(t, paused.Handle.ValidUntil().After(time.UnixMicro(f.now.Load())))
 }
 
 // Guards against a paused holder that releases or completes a claim which belongs to another attempt by now.
