--- a/internal/gate/service_test.go
+++ b/internal/gate/service_test.go
@@ -210,6 +210,26 @@
 	require.Zero(t, f.claims.Released())
 }
 
+// Guards against a call that net/http sends again when the connection of an earlier call breaks under it.
+func TestCallThatRunsOnceUsesNoEarlierConnection(t *testing.T) {
+	var requests atomic.Int64
+	flaky := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) != 2 {
+			echo(w, r)
+			return
+		}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+	})
+	f := newFixture(t, withServers(flaky.address()))
+	first, _ := f.service("sign-off/x", "one", headerIdempotencyKey, "k1")
+	require.Equal(t, http.StatusCreated, first.StatusCode)
+	resp, body := f.service("sign-off/x", "two", headerIdempotencyKey, "k2")
+	requireError(t, resp, body, 504, "outcome_unknown", "unknown")
+	require.EqualValues(t, 2, requests.Load())
+}
+
 // Guards against a repeat that runs again, answers otherwise, or hides that the key was used for another call.
 func TestRepeatedKey(t *testing.T) {
 	b := newBackend(t, echo)
--- a/internal/placecore/core_test.go
+++ b/internal/placecore/core_test.go
@@ -192,6 +192,18 @@
 	}
 }
 
+// Guards against an upgrade that unloads the only copy of a model because no engine has room for the new version.
+func TestUpgradeKeepsTheOnlyCopy(t *testing.T) {
+	intent := twoEngines("2")
+	intent.Models[0].MinReplicas = 1
+	intent.Engines = intent.Engines[:1]
+	h := newHarness(t, intent)
+	for range 5 {
+		h.report("e1", engine.StateReady, loaded("1"))
+		require.Empty(t, h.tick())
+	}
+}
+
 // Guards against orders decided from an order sent earlier instead of the engine's own report.
 func TestOldHoldersOrderIsCorrected(t *testing.T) {
 	h := newHarness(t, twoEngines("2"))
