Test that a planned stop lets a long stream finish

Cause: without Gate.Shutdown the rolling restart still passed, because its answers end within the 5 s of the HTTP server's own shutdown. The new test streams for longer.

--- a/internal/e2e/streams_test.go
+++ b/internal/e2e/streams_test.go
@@ -144,6 +144,29 @@
 	require.Greater(t, done.Load(), int64(20))
 }
 
+// Guards against a planned stop that waits for short requests only: the answer goes on for longer than the 5 s that the
+// server's own shutdown allows.
+func TestPlannedStopFinishesLongStream(t *testing.T) {
+	d := start(t, func(plan *devdeploy.Plan) { plan.Engine.TimeScale = 0.5 })
+	prompt := "review the whole incident report"
+	const tokens = 700
+	var once sync.Once
+	stopped := make(chan struct{})
+	a := chat(requestContext(t), d.Hosts[0].Caller, devdeploy.CallerKey, prompt, tokens, "", func(n int) {
+		if n > 50 {
+			once.Do(func() {
+				go func() {
+					d.stop(d.Hosts[0].Name)
+					close(stopped)
+				}()
+			})
+		}
+	})
+	require.True(t, a.complete, "%d tokens, %v", len(a.tokens), a.err)
+	require.Equal(t, expected(prompt, tokens), a.text())
+	<-stopped
+}
+
 // viaBalancer sends a request to a daemon that says it is ready, as the platform's balancer does. A refused connection
 // goes to the next daemon.
 func (d *deployment) viaBalancer(ctx context.Context, prompt string) answer {
