Pass on suspicions before joins

A trace over loopback sockets showed why: hints reached 274 of 359 daemons within 0.1 s, but after the start of all daemons each has hundreds of joins to pass on, and the suspicion waited among them for up to 6 s. Suspicions, deaths, refutations and leaves now go first, and each daemon that hears of them tells 3 others in place of 2.

Ruled out as causes by the trace: false deaths and late probes.

--- a/internal/membercore/core.go
+++ b/internal/membercore/core.go
@@ -36,10 +36,11 @@
 	// may be gone.
 	joinSyncs = 3
 	// urgentHints is the number of members told at once by the daemon where a suspicion, a refutation, a leave or a crash
-	// record begins, and relayedHints by those that hear of one of the first three. All 360 daemons know within a few
-	// hops, so that suspicions end at about the same time everywhere and are refuted before.
+	// record begins, and relayedHints by those that hear of one of the first three. Nearly all of 360 daemons know within a
+	// few hops (with 2, only four in five did), so that suspicions end at about the same time everywhere and are refuted
+	// before.
 	urgentHints  = 4
-	relayedHints = 2
+	relayedHints = 3
 	// hintsPerInterval bounds them to about 4 KB/s when many members change at once.
 	hintsPerInterval = 8
 )
@@ -156,7 +157,7 @@
 
 func (c *Core) start(e Started) {
 	c.seeds = e.Seeds
-	c.enqueue(c.self.Name)
+	c.enqueue(c.self.Name, false)
 	// Random phases keep daemons that start together from probing in step.
 	c.phase = c.jitter(probeInterval)
 	c.setTimer(keyProbe, c.nextProbe())
@@ -219,7 +220,7 @@
 	}
 	c.self.State = Leaving
 	c.self.Incarnation++
-	c.enqueue(c.self.Name)
+	c.enqueue(c.self.Name, true)
 	c.emit(MemberChanged{Member: c.self, Previous: Alive})
 	c.hint(urgentHints)
 }
--- a/internal/membercore/gossip.go
+++ b/internal/membercore/gossip.go
@@ -32,6 +32,9 @@
 	name   string
 	sent   int
 	serial uint64
+	// urgent updates go before others. After a start of all daemons each has hundreds of joins to pass on for minutes,
+	// and a suspicion among them took seconds to reach the last daemons.
+	urgent bool
 }
 
 type heldRecord struct {
@@ -41,15 +44,16 @@
 }
 
 // enqueue passes the record of a member on from the start.
-func (c *Core) enqueue(name string) {
+func (c *Core) enqueue(name string, urgent bool) {
 	c.serial++
-	for _, q := range c.queue {
+	update := &queued{name: name, serial: c.serial, urgent: urgent}
+	for i, q := range c.queue {
 		if q.name == name {
-			q.sent, q.serial = 0, c.serial
+			c.queue[i] = update
 			return
 		}
 	}
-	c.queue = append(c.queue, &queued{name: name, serial: c.serial})
+	c.queue = append(c.queue, update)
 }
 
 func (c *Core) retransmits() int { return retransmitFactor * bits.Len(uint(len(c.names)+1)) }
@@ -75,11 +79,20 @@
 
 func (r Record) size() int { return len(r.Fingerprint) + len(r.Engine) + recordOverhead }
 
-// fillUpdates takes the least often sent updates first, and of these the newest.
+// before orders urgent updates, then the least often sent, and of these the newest, first.
+func (q *queued) before(other *queued) int {
+	if q.urgent != other.urgent {
+		if q.urgent {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(q.sent, other.sent), cmp.Compare(other.serial, q.serial))
+}
+
+// fillUpdates takes the updates in the order of before and drops those that were sent often enough.
 func (c *Core) fillUpdates(p *Packet, to string, left *int) {
-	slices.SortFunc(c.queue, func(a, b *queued) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.serial, a.serial))
-	})
+	slices.SortFunc(c.queue, (*queued).before)
 	limit := c.retransmits()
 	kept := c.queue[:0]
 	for _, q := range c.queue {
--- a/internal/membercore/table.go
+++ b/internal/membercore/table.go
@@ -69,7 +69,7 @@
 		return
 	}
 	c.self.Incarnation = m.Incarnation + 1
-	c.enqueue(c.self.Name)
+	c.enqueue(c.self.Name, true)
 	c.emit(MemberChanged{Member: c.self, Previous: c.self.State})
 	c.hint(urgentHints)
 }
@@ -97,9 +97,10 @@
 	case Dead:
 		e.deadSince = c.now
 	}
-	c.enqueue(m.Name)
+	told := m.State == Suspect || old.State == Suspect && m.Live() || m.State == Leaving && old.State == Alive
+	c.enqueue(m.Name, told || m.State == Dead)
 	c.emit(MemberChanged{Member: m, Previous: old.State})
-	if m.State == Suspect || old.State == Suspect && m.Live() || m.State == Leaving && old.State == Alive {
+	if told {
 		c.hint(relayedHints)
 	}
 	if m.Live() && (!old.Live() || old.Address != m.Address) {
