--- a/cmd/carobdev/main.go
+++ b/cmd/carobdev/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 
@@ -16,6 +17,8 @@
 	Hosts            int    `long:"hosts" default:"3" description:"number of entry hosts"`
 	Domains          int    `long:"domains" default:"3" description:"number of failure domains"`
 	EnginesPerDomain int    `long:"engines-per-domain" default:"2" description:"engines in the pool of each failure domain"`
+	Engine           string `long:"engine" value-name:"FILE" description:"JSON template of the engines' settings"`
+	Profiling        bool   `long:"profiling" description:"let daemons serve profiles on their admin addresses"`
 }
 
 func main() {
@@ -26,14 +29,32 @@
 		}
 		os.Exit(2)
 	}
-	deployment, err := devdeploy.Write(devdeploy.Plan{
-		Dir: o.Dir, BasePort: o.BasePort, Hosts: o.Hosts, Domains: o.Domains, EnginesPerDomain: o.EnginesPerDomain,
-	})
-	if err != nil {
+	if err := write(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
+}
+
+func write(o options) error {
+	plan := devdeploy.Plan{
+		Dir: o.Dir, BasePort: o.BasePort, Hosts: o.Hosts, Domains: o.Domains, EnginesPerDomain: o.EnginesPerDomain,
+		Profiling: o.Profiling,
+	}
+	if o.Engine != "" {
+		data, err := os.ReadFile(o.Engine)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(data, &plan.Engine); err != nil {
+			return fmt.Errorf("%s: %w", o.Engine, err)
+		}
+	}
+	deployment, err := devdeploy.Write(plan)
+	if err != nil {
+		return err
+	}
 	for _, p := range deployment.Processes {
 		fmt.Println(p.Name, p.Binary, p.Settings)
 	}
+	return nil
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -15,6 +16,10 @@
 	mux.HandleFunc("GET /readyz", d.readyz)
 	mux.Handle("GET /metrics", d.metrics.handler)
 	mux.HandleFunc("GET /status", d.status)
+	if d.settings.Profiling {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	return mux
 }
 
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -41,6 +41,9 @@
 	LameDuckMs int `json:"lameDuckMs,omitempty"`
 	// PolicyOff names allocator rules that are switched off for measurement.
 	PolicyOff []string `json:"policyOff,omitempty"`
+	// Profiling serves profiles of the process (net/http/pprof) on the admin address; off by default, because a profile
+	// shows memory contents and takes CPU.
+	Profiling bool `json:"profiling,omitempty"`
 }
 
 // Defaults and bounds of the settings.
--- a/internal/devdeploy/devdeploy.go
+++ b/internal/devdeploy/devdeploy.go
@@ -68,6 +68,8 @@
 	// LameDuckMs and StopGraceMs of the daemons.
 	LameDuckMs  int
 	StopGraceMs int
+	// Profiling lets the daemons serve profiles.
+	Profiling bool
 }
 
 // Process is one process of the deployment.
@@ -176,6 +178,7 @@
 			PeerAddress: h.Peer, PlatformAddress: w.d.Platform, Seeds: w.seeds(), ClusterKeys: []string{clusterKey},
 			CursorKeys: []string{cursorKey}, Credentials: credentials,
 			LameDuckMs: w.plan.LameDuckMs, StopGraceMs: w.plan.StopGraceMs,
+			Profiling: w.plan.Profiling,
 		})
 		w.process(h.Name+"-controller", "carobcontroller", controller.Settings{
 			Name: h.Name, DaemonAddress: h.Peer, AdminAddress: h.ControllerAdmin, PlatformAddress: w.d.Platform,
