Read contents as lists of text parts at the gate, and send the engines' prefix hashes

The gate parsed message contents as strings only, so a request with a list of text parts, as client libraries of the OpenAI API send, was refused although engines accept it. The gate also had prefix hashes of its own that did not cover model and version, so they could never match those in an engine's cache events or two versions of a model.

A gate test compares prompt and hashes with what an engine reads from the same body. Contents without escapes are taken over without a second decode.

--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -1,9 +1,11 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
+	"unicode/utf8"
 )
 
 // ChatRequest is the part of an OpenAI chat completion request that decides the answer.
@@ -29,6 +31,12 @@
 
 // UnmarshalJSON reads both forms.
 func (c *Content) UnmarshalJSON(data []byte) error {
+	// Nothing to unescape: encoding/json has checked the syntax before this call, and a prompt of a million tokens need
+	// not be scanned twice more.
+	if n := len(data); n >= 2 && data[0] == '"' && bytes.IndexByte(data, '\\') < 0 && utf8.Valid(data) {
+		*c = Content(data[1 : n-1])
+		return nil
+	}
 	var text string
 	if err := json.Unmarshal(data, &text); err == nil {
 		*c = Content(text)
--- a/internal/gate/affinity_test.go
+++ b/internal/gate/affinity_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/engine"
 )
 
 // Guards against an affinity that depends on the prompt beyond its first 1,024 bytes, which would send questions about
@@ -15,7 +16,7 @@
 	affinity := func(prompt string) uint64 {
 		m := &modelRequest{model: &config.Model{Name: "m1"}}
 		id := identity{workspace: &config.Workspace{Name: "w"}}
-		require.Nil(t, m.setPrompt(id, []chatMessage{{Role: "user", Content: prompt}}))
+		require.Nil(t, m.setPrompt(id, []engine.Message{{Role: "user", Content: engine.Content(prompt)}}))
 		return m.affinity
 	}
 	start := strings.Repeat("a", affinityBytes)
--- a/internal/gate/chat_test.go
+++ b/internal/gate/chat_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobstile/carobstile/internal/engine"
@@ -47,6 +47,7 @@
 		{"malformed JSON", `{"model":`, nil, 400, "invalid_request"},
 		{"unknown model", `{"model":"m2","messages":[{"content":"x"}]}`, nil, 404, "model_not_found"},
 		{"prompt too long", `{"model":"m1","messages":[{"content":"123456789012345678901"}]}`, nil, 413, "too_large"},
+		{"content part that is no text", `{"model":"m1","messages":[{"content":[{"type":"image_url"}]}]}`, nil, 400, "invalid_request"},
 		{"no messages", `{"model":"m1"}`, nil, 400, "invalid_request"},
 		{"too many tokens asked", `{"model":"m1","max_tokens":99999,"messages":[{"content":"x"}]}`, nil, 400, "invalid_request"},
 		{"wrong key", wholeBody, []string{"Authorization", "Bearer wrong"}, 401, "unauthorized"},
@@ -64,19 +65,26 @@
 	require.Empty(t, calls)
 }
 
-// Guards against prefix hashes that differ from the engines' blocks: each names all text before it, and a part of a
-// block has none.
-func TestPrefixHashes(t *testing.T) {
-	const block = engine.PrefixBlockTokens * engine.BytesPerToken
-	text := strings.Repeat("abcd", 3*block/4)
-	hashes := PrefixHashes(text)
-	require.Len(t, hashes, 3)
-	require.Equal(t, xxhash.Sum64String(text[:block]), hashes[0])
-	require.NotEqual(t, hashes[0], hashes[1], "equal blocks at different places")
-	require.Equal(t, hashes[:2], PrefixHashes(text[:3*block-1]))
-	changed := "x" + text[1:]
-	for i, h := range PrefixHashes(changed) {
-		require.NotEqual(t, hashes[i], h, "block %d", i)
-	}
-	require.Empty(t, PrefixHashes("short"))
+// Guards against a gate that reads another prompt than the engine does from the forms of content that client libraries
+// send, or asks for a grant with hashes that the engine's cache does not know.
+func TestPromptAndPrefixHashesAreThoseOfTheEngine(t *testing.T) {
+	f := newFixture(t, nil)
+	long, escaped := strings.Repeat("tides ", 500), strings.Repeat("caf\u00e9 \"x\"\n", 300)
+	texts, err := json.Marshal([]any{
+		map[string]any{"role": "system", "content": escaped},
+		map[string]any{"role": "assistant", "content": nil},
+		map[string]any{"role": "user", "content": []map[string]string{{"type": "text", "text": long}, {"type": "text", "text": escaped}}},
+	})
+	require.NoError(t, err)
+	_, body := f.chat(`{"model":"m1","messages":` + string(texts) + `}`)
+	require.Contains(t, string(body), `"finish_reason"`)
+	calls, _ := f.engines.Calls()
+	require.Len(t, calls, 1)
+	var atEngine engine.ChatRequest
+	require.NoError(t, json.Unmarshal(calls[0].Body, &atEngine))
+	require.Equal(t, escaped+long+escaped, atEngine.Prompt())
+	ask := f.grants.Asks()[0].Request
+	require.EqualValues(t, engine.PromptTokens(len(atEngine.Prompt())), ask.PromptTokens)
+	require.NotEmpty(t, ask.PrefixHashes)
+	require.Equal(t, engine.PrefixHashes(atEngine.Model, "1", atEngine.Prompt(), 0), ask.PrefixHashes)
 }
--- a/internal/gate/parse.go
+++ b/internal/gate/parse.go
@@ -33,20 +33,20 @@
 // affinityBytes is the length of the prompt prefix whose hash orders pools.
 const affinityBytes = 1024
 
+// maxPrefixHashes bounds the prefix hashes that a grant is asked with. An allocator remembers as many of one prompt;
+// those of a million tokens would be 39 KB against a budget of 14 KB/s per daemon.
+const maxPrefixHashes = 1024
+
 // chatBody holds the fields of a chat request that the gate reads. Engines get the caller's body unchanged.
 type chatBody struct {
-	Model               string        `json:"model"`
-	Messages            []chatMessage `json:"messages"`
-	Stream              bool          `json:"stream"`
-	MaxTokens           *int          `json:"max_tokens"`
-	MaxCompletionTokens *int          `json:"max_completion_tokens"`
-	Seed                *int64        `json:"seed"`
-	N                   *int          `json:"n"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Model string `json:"model"`
+	// Messages have the engines' types, so that gate and engine see the same prompt.
+	Messages            []engine.Message `json:"messages"`
+	Stream              bool             `json:"stream"`
+	MaxTokens           *int             `json:"max_tokens"`
+	MaxCompletionTokens *int             `json:"max_completion_tokens"`
+	Seed                *int64           `json:"seed"`
+	N                   *int             `json:"n"`
 }
 
 // modelRequest is a checked chat request.
@@ -158,11 +158,11 @@
 	return nil
 }
 
-func (m *modelRequest) setPrompt(id identity, messages []chatMessage) *problem {
+func (m *modelRequest) setPrompt(id identity, messages []engine.Message) *problem {
 	if len(messages) == 0 {
 		return notRun(gatecore.CodeInvalidRequest, "messages: expected at least one").at("messages")
 	}
-	prompt := promptText(messages)
+	prompt := (&engine.ChatRequest{Messages: messages}).Prompt()
 	m.promptTokens = engine.PromptTokens(len(prompt))
 	limit := m.model.MaxPromptTokens
 	if w := id.workspace.MaxPromptTokens; w > 0 && (limit == 0 || w < limit) {
@@ -172,7 +172,7 @@
 		message := fmt.Sprintf("the prompt has %d tokens, at most %d are allowed", m.promptTokens, limit)
 		return notRun(gatecore.CodeTooLarge, message).at("messages")
 	}
-	m.prefixHashes = PrefixHashes(prompt)
+	m.prefixHashes = engine.PrefixHashes(m.name(), m.model.Version, prompt, maxPrefixHashes)
 	m.affinity = xxhash.Sum64String(prompt[:min(len(prompt), affinityBytes)])
 	return nil
 }
@@ -197,33 +197,6 @@
 	return nil
 }
 
-func promptText(messages []chatMessage) string {
-	var b strings.Builder
-	for _, m := range messages {
-		b.WriteString(m.Content)
-	}
-	return b.String()
-}
-
-// PrefixHashes returns the chained hashes of the prompt's full blocks of engine.PrefixBlockTokens tokens: the first is
-// the xxhash of block 0, each further one that of the former hash (8 bytes, little endian) followed by its block.
-func PrefixHashes(prompt string) []uint64 {
-	const blockBytes = engine.PrefixBlockTokens * engine.BytesPerToken
-	hashes := make([]uint64, 0, len(prompt)/blockBytes)
-	digest := xxhash.New()
-	var former [8]byte
-	for ; len(prompt) >= blockBytes; prompt = prompt[blockBytes:] {
-		digest.Reset()
-		if n := len(hashes); n > 0 {
-			binary.LittleEndian.PutUint64(former[:], hashes[n-1])
-			_, _ = digest.Write(former[:]) // never fails
-		}
-		_, _ = digest.WriteString(prompt[:blockBytes])
-		hashes = append(hashes, digest.Sum64())
-	}
-	return hashes
-}
-
 // fingerprintOf hashes caller and body, with the caller's length before them so that no two pairs share an input.
 func fingerprintOf(caller string, body []byte) (f Fingerprint) {
 	h := sha256.New()
--- a/internal/gate/sink.go
+++ b/internal/gate/sink.go
@@ -190,9 +190,9 @@
 }
 
 type wholeChoice struct {
-	Index        int         `json:"index"`
-	Message      chatMessage `json:"message"`
-	FinishReason string      `json:"finish_reason"`
+	Index        int            `json:"index"`
+	Message      engine.Message `json:"message"`
+	FinishReason string         `json:"finish_reason"`
 }
 
 type wholeUsage struct {
@@ -213,7 +213,7 @@
 	body, err := json.Marshal(wholeAnswer{
 		ID: "chatcmpl-" + s.f.requestID, Object: "chat.completion", Created: m.created, Model: m.name(),
 		Choices: []wholeChoice{{
-			Message: chatMessage{Role: "assistant", Content: s.text.String()}, FinishReason: f.Reason,
+			Message: engine.Message{Role: "assistant", Content: engine.Content(s.text.String())}, FinishReason: f.Reason,
 		}},
 		Usage: wholeUsage{
 			PromptTokens: m.promptTokens, CompletionTokens: f.Tokens, TotalTokens: m.promptTokens + f.Tokens,
