Send at most 32 prefix hashes with a request for a grant

Cause: a prompt of a million tokens has 3,906 block hashes, 31 KB in one message against 14 KB/s for all control traffic of a daemon. The gate now sends the hashes of every 2^k-th block. The allocator looks at each of them instead of bisecting, since a sampled prefix may be remembered without a shorter one. Ruled out: the first 32 hashes only, which cover 8,192 tokens and would count a cached binder as uncached; a stride that is no power of two, with which prompts of different lengths would share no hash.

Before: up to 1,024 hashes, 8 KB.

--- a/internal/alloccore/prefix.go
+++ b/internal/alloccore/prefix.go
@@ -3,11 +3,12 @@
 import "container/list"
 
 const (
-	// prefixesPerEngine bounds the prefix hashes remembered for an engine; at 256 tokens a block this is 2 M tokens,
-	// more than an engine's cache holds.
+	// prefixesPerEngine bounds the prefix hashes remembered for an engine; at 256 tokens a block or more this is over
+	// 2 M tokens, more than an engine's cache holds.
 	prefixesPerEngine = 8_192
 	// prefixesPerRequest bounds the hashes remembered of one prompt, so that one prompt cannot push out all others.
-	prefixesPerRequest = 1_024
+	// Gates send at most 32.
+	prefixesPerRequest = 64
 )
 
 // prefixMemory remembers which prompt prefixes were last sent to an engine, least recently used first out. It is a
@@ -49,17 +50,13 @@
 	}
 }
 
-// cachedTokens returns the length of the longest remembered prefix of a prompt. It searches by bisection, as a prefix
-// is never remembered without the shorter ones.
+// cachedTokens returns the length of the longest remembered prefix of a prompt. It looks at every hash, longest first:
+// prompts of different lengths come with hashes of different blocks, so a prefix may be remembered without a shorter one.
 func (m *prefixMemory) cachedTokens(req *Request) int {
-	low, high := 0, min(len(req.PrefixHashes), prefixesPerRequest)
-	for low < high {
-		middle := (low + high) / 2
-		if _, ok := m.nodes[req.PrefixHashes[middle]]; ok {
-			low = middle + 1
-		} else {
-			high = middle
+	for i := min(len(req.PrefixHashes), prefixesPerRequest); i > 0; i-- {
+		if _, ok := m.nodes[req.PrefixHashes[i-1]]; ok {
+			return min(i*req.PrefixBlock, req.PromptTokens)
 		}
 	}
-	return min(low*req.PrefixBlock, req.PromptTokens)
+	return 0
 }
--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -29,3 +29,18 @@
 	}
 	return out
 }
+
+// SamplePrefixes keeps at most most of the prefix hashes of a prompt: those of every 2^k-th block, for the least k that
+// suffices. It returns them with the tokens of the blocks between two of them. Prompts of different lengths with the same
+// start keep hashes of the same blocks, because the strides are powers of two.
+func SamplePrefixes(hashes []uint64, most int) (sampled []uint64, blockTokens int) {
+	stride := 1
+	for len(hashes)/stride > most {
+		stride *= 2
+	}
+	sampled = make([]uint64, 0, len(hashes)/stride)
+	for i := stride - 1; i < len(hashes); i += stride {
+		sampled = append(sampled, hashes[i])
+	}
+	return sampled, stride * PrefixBlockTokens
+}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
-	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
@@ -69,7 +68,7 @@
 			Workspace: id.workspace.Name, Weight: uint32(max(id.workspace.Weight, 1)),
 			Priority: uint32(id.caller.Priority), Model: m.model.Name, Adapter: m.adapter,
 			PromptTokens: uint32(m.promptTokens), MaxOutputTokens: uint32(m.maxTokens),
-			PrefixHashes: m.prefixHashes, PrefixBlockTokens: engine.PrefixBlockTokens,
+			PrefixHashes: m.prefixHashes, PrefixBlockTokens: uint32(m.prefixTokens),
 			DeadlineMicros: int64(e.Deadline), MaxWaitMicros: int64(e.Deadline - g.now()),
 			SuspectCount: uint32(e.Suspects), ExcludedEngines: e.Excluded,
 		},
--- a/internal/gate/parse.go
+++ b/internal/gate/parse.go
@@ -33,9 +33,9 @@
 // affinityBytes is the length of the prompt prefix whose hash orders pools.
 const affinityBytes = 1024
 
-// maxPrefixHashes bounds the prefix hashes that a grant is asked with. An allocator remembers as many of one prompt;
-// those of a million tokens would be 39 KB against a budget of 14 KB/s per daemon.
-const maxPrefixHashes = 1024
+// maxPrefixHashes bounds the prefix hashes that a grant is asked with. All hashes of a prompt of a million tokens would
+// be 31 KB, against a budget of 14 KB/s for all control traffic of a daemon.
+const maxPrefixHashes = 32
 
 // chatBody holds the fields of a chat request that the gate reads. Engines get the caller's body unchanged.
 type chatBody struct {
@@ -65,6 +65,7 @@
 	served       string
 	promptTokens int
 	prefixHashes []uint64
+	prefixTokens int // of the blocks between two prefix hashes
 	affinity     uint64
 	maxTokens    int
 	seed         uint64
@@ -172,7 +173,8 @@
 		message := fmt.Sprintf("the prompt has %d tokens, at most %d are allowed", m.promptTokens, limit)
 		return notRun(gatecore.CodeTooLarge, message).at("messages")
 	}
-	m.prefixHashes = engine.PrefixHashes(m.name(), m.model.Version, prompt, maxPrefixHashes)
+	hashes := engine.PrefixHashes(m.name(), m.model.Version, prompt, 0)
+	m.prefixHashes, m.prefixTokens = engine.SamplePrefixes(hashes, maxPrefixHashes)
 	m.affinity = xxhash.Sum64String(prompt[:min(len(prompt), affinityBytes)])
 	return nil
 }
