--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -16,9 +16,9 @@
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/alloccore"
 	"github.com/carobstile/carobstile/internal/config"
-	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/shell"
 )
 
 // Intervals of polling.
@@ -49,7 +49,7 @@
 // Allocator holds the reducers of the pools that this daemon allocates. It is safe for concurrent use.
 type Allocator struct {
 	opts   Options
-	clock  clock
+	clock  shell.Clock
 	policy alloccore.Policy
 	wake   chan struct{}
 
@@ -71,18 +71,10 @@
 		policy = *opts.Policy
 	}
 	return &Allocator{
-		opts: opts, clock: newClock(), policy: policy, wake: make(chan struct{}, 1), pools: map[string]*pool{},
+		opts: opts, clock: shell.NewClock(), policy: policy, wake: make(chan struct{}, 1), pools: map[string]*pool{},
 	}
 }
 
-// clock reads wall clock time that advances with the monotonic clock, so that a step of the wall clock neither expires
-// grants nor keeps them.
-type clock struct{ start time.Time }
-
-func newClock() clock { return clock{time.Now()} }
-
-func (c clock) now() core.Micros { return core.At(c.start) + core.Span(time.Since(c.start)) }
-
 // Pools states which pools this daemon allocates, with the configuration in force. Pools that left are closed and
 // their waiting requests refused, so that the gates turn to the new allocator.
 func (a *Allocator) Pools(assigned []string, index *config.Index) {
--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -48,7 +48,7 @@
 // otherwise an older SetTimer could replace a newer one.
 func (p *pool) step(build func(now core.Micros) alloccore.Event) {
 	p.mu.Lock()
-	ev := build(p.a.clock.now())
+	ev := build(p.a.clock.Now())
 	effects := p.core.Step(ev)
 	if p.a.opts.Record != nil {
 		p.a.opts.Record(p.name, ev, effects)
@@ -99,7 +99,7 @@
 		return
 	}
 	p.dropTimer(e.Key)
-	delay := (e.At - p.a.clock.now()).Duration()
+	delay := (e.At - p.a.clock.Now()).Duration()
 	p.timers[e.Key] = time.AfterFunc(delay, func() {
 		p.step(func(now core.Micros) alloccore.Event { return alloccore.TimerFired{Now: now, Key: e.Key} })
 	})
@@ -213,7 +213,7 @@
 func (p *pool) pollEngine(ctx context.Context, name, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	asked := p.a.clock.now()
+	asked := p.a.clock.Now()
 	load, err := p.a.opts.Loads.Load(ctx, address)
 	p.stateMu.Lock()
 	delete(p.polling, name)
@@ -230,7 +230,7 @@
 
 func (p *pool) status() *carobstilev1.PoolStatus {
 	p.mu.Lock()
-	now := p.a.clock.now()
+	now := p.a.clock.Now()
 	view := p.core.View(now)
 	p.mu.Unlock()
 	return statusOf(p.name, now, view)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/carobstile/carobstile/internal/placecore"
 	"github.com/carobstile/carobstile/internal/platform"
 	"github.com/carobstile/carobstile/internal/rendezvous"
+	"github.com/carobstile/carobstile/internal/shell"
 )
 
 // Intervals and bounds of the shell.
@@ -61,7 +62,7 @@
 // Controller drives one placecore.Core.
 type Controller struct {
 	o     Options
-	start time.Time
+	clock shell.Clock
 
 	mu   sync.Mutex
 	core *placecore.Core
@@ -82,11 +83,10 @@
 
 // New returns a controller.
 func New(o Options) *Controller {
-	return &Controller{o: o, start: time.Now(), core: placecore.New(o.Name), view: view{chunks: map[string][]byte{}}}
+	return &Controller{o: o, clock: shell.NewClock(), core: placecore.New(o.Name), view: view{chunks: map[string][]byte{}}}
 }
 
-// now is wall clock time that advances with the monotonic clock, so that a step of the wall clock cannot extend a lease.
-func (c *Controller) now() core.Micros { return core.At(c.start) + core.Span(time.Since(c.start)) }
+func (c *Controller) now() core.Micros { return c.clock.Now() }
 
 // Active reports whether this controller holds the lease.
 func (c *Controller) Active() bool {
