Name reservations on helping engines by request and attempt

Cause: internal/daemon/engines.go made the reservations of a prompt over several engines under the request id, so all attempts shared one. The free of a failed attempt (the gate's, in the background, and the former lead's own) dropped the memory that the next attempt had reserved. The free after a lost connection also ended the stream that the lead keeps for its resume window.

Ruled out: one id per request and lead. After helper_lost the lead frees late, and the next attempt may have the same lead. Always a new id per attempt: a resumed stream goes on with the reservations that its lead was given, and a second set needs its memory twice.

Now an attempt reserves as <request>.<attempt> and names that in X-Reservation. An attempt that comes to the lead which may still hold the stream, also at another gate by the cursor, keeps the name. Reservations at a former lead are freed before the next attempt reserves.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,7 +142,7 @@
 	d.crashes = &crashBook{
 		set: crashes.NewSet(limit), members: d.members, store: d.store, current: d.conf.Current, log: d.log,
 	}
-	engines := &gateEngines{client: engine.NewHTTP(0), owner: d.settings.Name, log: d.log}
+	engines := newGateEngines(engine.NewHTTP(0), d.log)
 	d.gate = gate.New(gate.Options{
 		Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
 		Claims: d.claims, Crashes: d.crashes, Cursors: keyring, Leaving: d.leaving.contains, Log: d.log,
--- a/internal/daemon/engines.go
+++ b/internal/daemon/engines.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,18 +12,14 @@
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
 
-// Times of reservations on helping engines. Two renewals in a row may be lost before one expires.
-const (
-	reservationTTL   = 15 * time.Second
-	reservationRenew = 5 * time.Second
-	reservationCall  = 2 * time.Second
-)
-
 // gateEngines offers engine.Client to the gate.
 type gateEngines struct {
-	client engine.Client
-	owner  string
-	log    *slog.Logger
+	client   engine.Client
+	reserved *reservations
+}
+
+func newGateEngines(client engine.Client, log *slog.Logger) *gateEngines {
+	return &gateEngines{client: client, reserved: newReservations(client, log)}
 }
 
 var causes = map[engine.Kind]gatecore.Cause{
@@ -52,90 +47,61 @@
 }
 
 // Open implements gate.Engines. For a prompt over several engines it first reserves memory on the helping engines, all
-// or nothing, and keeps the reservations until the stream is closed.
+// or nothing, and renews the reservations until the stream is closed.
 func (e *gateEngines) Open(ctx context.Context, call gate.EngineCall) (gate.EngineStream, error) {
-	release, err := e.reserve(ctx, call)
+	group, err := e.reserved.acquire(ctx, call)
 	if err != nil {
 		return nil, typed(err)
 	}
-	stream, err := e.client.Start(ctx, call.Address, engine.Request{
-		ID: call.RequestID, Attempt: call.Attempt, ResumeFrom: call.ResumeFrom, Seed: call.Seed, Priority: call.Priority,
-		Version: call.Version,
-		Group:   addresses(call.Helpers), DeadlineMs: call.Deadline.Milliseconds(), ReserveTokens: call.Reserve,
-		Body: call.Body, NewConnection: call.Attempt > 1,
-	})
+	stream, err := e.client.Start(ctx, call.Address, request(call, group))
 	if err != nil {
-		release()
+		if !mayHold(err) {
+			e.reserved.leadDropped(group)
+		}
+		e.reserved.release(group)
 		return nil, typed(err)
 	}
-	return &gateStream{stream: stream, release: release}, nil
+	return &gateStream{stream: stream, reserved: e.reserved, group: group}, nil
 }
 
-func addresses(helpers []gate.Helper) []string {
-	var out []string
-	for _, h := range helpers {
-		out = append(out, h.Address)
-	}
-	return out
-}
-
-// reserve returns a function that frees what was reserved.
-func (e *gateEngines) reserve(ctx context.Context, call gate.EngineCall) (func(), error) {
-	if len(call.Helpers) == 0 {
-		return func() {}, nil
-	}
-	for i, h := range call.Helpers {
-		if err := e.client.Reserve(ctx, h.Address, e.reservation(call, h)); err != nil {
-			e.free(call, call.Helpers[:i+1]) // the answer of the last one may have been lost
-			return nil, err
-		}
+func request(call gate.EngineCall, group *groupReservation) engine.Request {
+	out := engine.Request{
+		ID: call.RequestID, Attempt: call.Attempt, ResumeFrom: call.ResumeFrom, Seed: call.Seed, Priority: call.Priority,
+		Version: call.Version,
+		Group:   addresses(call.Helpers), DeadlineMs: call.Deadline.Milliseconds(), ReserveTokens: call.Reserve,
+		Body: call.Body, NewConnection: call.Attempt > 1,
 	}
-	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
-	go e.renew(renewing, call)
-	return func() {
-		stop()
-		go e.free(call, call.Helpers)
-	}, nil
-}
-
-// reservation is named by request and attempt, so that a late call of a former attempt cannot free the next one's.
-func (e *gateEngines) reservation(call gate.EngineCall, h gate.Helper) engine.Reservation {
-	return engine.Reservation{
-		ID: call.RequestID, Owner: call.RequestID, Tokens: h.Reserve, TTLMs: int(reservationTTL.Milliseconds()),
+	if group != nil {
+		out.ReservationID = group.id
 	}
+	return out
 }
 
-func (e *gateEngines) renew(ctx context.Context, call gate.EngineCall) {
-	ticker := time.NewTicker(reservationRenew)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		for _, h := range call.Helpers {
-			if err := e.client.Reserve(ctx, h.Address, e.reservation(call, h)); err != nil && ctx.Err() == nil {
-				e.log.Warn("reservation not renewed", "request", call.RequestID, "address", h.Address, "err", err)
-			}
-		}
+// mayHold reports whether an engine may keep a stream that ended with err for its resume window.
+func mayHold(err error) bool {
+	switch engine.KindOf(err) {
+	case engine.KindLost, engine.KindSilent, engine.KindCancelled:
+		return true
+	default:
+		return false
 	}
 }
 
-func (e *gateEngines) free(call gate.EngineCall, helpers []gate.Helper) {
-	ctx, cancel := context.WithTimeout(context.Background(), reservationCall)
-	defer cancel()
+func addresses(helpers []gate.Helper) []string {
+	var out []string
 	for _, h := range helpers {
-		r := e.reservation(call, h)
-		if err := e.client.Unreserve(ctx, h.Address, r.ID, r.Owner); err != nil {
-			e.log.Debug("reservation not freed, it will expire", "request", call.RequestID, "address", h.Address, "err", err)
-		}
+		out = append(out, h.Address)
 	}
+	return out
 }
 
 // Cancel implements gate.Engines.
 func (e *gateEngines) Cancel(ctx context.Context, address, requestID string, attempt int) error {
-	return typed(e.client.Cancel(ctx, address, requestID, attempt))
+	err := e.client.Cancel(ctx, address, requestID, attempt)
+	if engine.KindOf(err) == engine.KindUnreachable {
+		e.reserved.leadGone(requestID, address)
+	}
+	return typed(err)
 }
 
 // Incarnation implements gate.Engines.
@@ -147,13 +113,17 @@
 // gateStream offers engine.Stream to the gate.
 type gateStream struct {
 	stream      engine.Stream
-	release     func()
+	reserved    *reservations
+	group       *groupReservation // nil for a prompt of one engine
 	versionSeen bool
 }
 
 // Recv implements gate.EngineStream.
 func (s *gateStream) Recv() (gate.EngineEvent, error) {
 	frame, err := s.stream.Next()
+	if err != nil && !mayHold(err) || err == nil && (frame.Done || frame.Finish != "") {
+		s.reserved.leadDropped(s.group)
+	}
 	if err != nil {
 		return gate.EngineEvent{}, typed(err)
 	}
@@ -181,6 +151,7 @@
 
 // Close implements gate.EngineStream.
 func (s *gateStream) Close() error {
-	s.release()
-	return s.stream.Close()
+	err := s.stream.Close()
+	s.reserved.release(s.group)
+	return err
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -95,8 +95,9 @@
 	g.tally.attempt(gatecore.KindModel)
 	stream, err := g.opts.Engines.Open(a.ctx, EngineCall{
 		Address: a.address, RequestID: f.requestID, Attempt: e.Attempt, ResumeFrom: e.ResumeFrom, Seed: f.model.seed,
-		Version:  g.servedVersion(f, ""),
-		Priority: f.identity.caller.Priority, Helpers: a.helpers, Deadline: (f.deadline - g.now()).Duration(),
+		HeldAttempt: heldAttempt(f.model, a),
+		Version:     g.servedVersion(f, ""),
+		Priority:    f.identity.caller.Priority, Helpers: a.helpers, Deadline: (f.deadline - g.now()).Duration(),
 		Reserve: a.reserve, Body: f.model.body,
 	})
 	if err == nil {
@@ -113,6 +114,14 @@
 	g.step(gatecore.StreamEnded{Now: g.now(), Request: f.handle, Attempt: e.Attempt, Cause: cause})
 }
 
+// heldAttempt returns the attempt that the cursor names when a resumed request comes to the cursor's engine first.
+func heldAttempt(m *modelRequest, a *attempt) int {
+	if a.number != m.firstAttempt || m.preferred == "" || a.engine != m.preferred {
+		return 0
+	}
+	return m.firstAttempt - gatecore.MaxAttemptNumbers
+}
+
 // readStream reads events until the finish (nil) or an error.
 func (g *Gate) readStream(f *flight, a *attempt, stream EngineStream) error {
 	for {
--- a/internal/gate/options.go
+++ b/internal/gate/options.go
@@ -76,11 +76,13 @@
 
 // EngineCall is one attempt at an engine: the caller's body and the headers of section 5.2 of the design page.
 type EngineCall struct {
-	Address    string
-	RequestID  string
-	Attempt    int
-	ResumeFrom int
-	Seed       uint64
+	Address   string
+	RequestID string
+	Attempt   int
+	// HeldAttempt is the attempt of another gate whose stream the engine may still hold; 0 when there is none.
+	HeldAttempt int
+	ResumeFrom  int
+	Seed        uint64
 	// Version of the model that has given the tokens delivered so far; empty when there are none.
 	Version  string
 	Priority int
