Take broken probes and refused polls for what they prove when an engine crashes; test faults end to end

A gate asks an engine for its incarnation once after a broken stream. A process that is ending still accepts a connection and breaks it, so the crash was taken for a broken connection and no record was made. The allocator granted the dead engine until two polls of one second had failed, and the connection failures used up the attempts and the retry budget of innocent requests.

Ruled out: a larger retry budget, which would multiply an outage.

Now the gate repeats a broken question within its 300 ms, an allocator polls its engines at once when a release reports a lost stream, and a refused connection excludes an engine without a second poll. Unit tests in internal/gate and internal/allocator cover both.

The harness restarts engines as the platform does, hands out port ranges per deployment, tries others when a process does not get its port, and scans the logs of all processes for keys and prompts. Engines in devdeploy get the weight store's address.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// pollNow polls new pools without waiting for the next second.
+// pollNow polls all pools without waiting for the next second.
 func (a *Allocator) pollNow() {
 	select {
 	case a.wake <- struct{}{}:
--- a/internal/allocator/fake.go
+++ b/internal/allocator/fake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,12 +12,15 @@
 
 // FakeLoads is a LoadReader that answers from memory. It is safe for concurrent use.
 type FakeLoads struct {
-	mu    sync.Mutex
-	loads map[string]engine.Load
+	mu      sync.Mutex
+	loads   map[string]engine.Load
+	refused map[string]bool
 }
 
 // NewFakeLoads returns a fake on which every engine is down.
-func NewFakeLoads() *FakeLoads { return &FakeLoads{loads: map[string]engine.Load{}} }
+func NewFakeLoads() *FakeLoads {
+	return &FakeLoads{loads: map[string]engine.Load{}, refused: map[string]bool{}}
+}
 
 // Set states the report of the engine at address.
 func (f *FakeLoads) Set(address string, load engine.Load) {
@@ -32,6 +36,13 @@
 	delete(f.loads, address)
 }
 
+// Refuse makes the host of the engine at address refuse connections, as after a crash.
+func (f *FakeLoads) Refuse(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused[address] = true
+}
+
 // Load implements LoadReader.
 func (f *FakeLoads) Load(ctx context.Context, address string) (*engine.Load, error) {
 	if err := ctx.Err(); err != nil {
@@ -39,6 +50,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.refused[address] {
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "engine %s", address)
+	}
 	load, ok := f.loads[address]
 	if !ok {
 		return nil, errors.Newf("engine %s is down", address)
--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/alloccore"
 	"github.com/carobstile/carobstile/internal/config"
@@ -187,14 +190,21 @@
 	return <-ch
 }
 
+// release ends grants. A lost connection may be the first sign of a dead engine, so the engines are polled at once
+// instead of up to a second later.
 func (p *pool) release(req *carobstilev1.ReleaseRequest) {
+	lost := false
 	for _, g := range req.GetGrants() {
+		lost = lost || g.GetOutcome() == carobstilev1.Outcome_OUTCOME_LOST
 		p.step(func(now core.Micros) alloccore.Event {
 			return alloccore.GrantReleased{
 				Now: now, GrantID: g.GetGrantId(), Outcome: outcomeOf(g.GetOutcome()), OutputTokens: int(g.GetOutputTokens()),
 			}
 		})
 	}
+	if lost {
+		p.a.pollNow()
+	}
 }
 
 // poll asks each engine for its load unless the last poll of it is still open.
@@ -220,7 +230,10 @@
 	p.stateMu.Unlock()
 	if err != nil {
 		p.a.opts.Log.Debug("load poll failed", "pool", p.name, "engine", name, "error", err.Error())
-		p.step(func(now core.Micros) alloccore.Event { return alloccore.EngineUnreachable{Now: now, Engine: name} })
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		p.step(func(now core.Micros) alloccore.Event {
+			return alloccore.EngineUnreachable{Now: now, Engine: name, Refused: refused}
+		})
 		return
 	}
 	p.step(func(now core.Micros) alloccore.Event {
--- a/internal/allocator/shell_test.go
+++ b/internal/allocator/shell_test.go
@@ -139,6 +139,23 @@
 	})
 }
 
+// Guards against grants for an engine that has crashed until the next two polls of the second: the gate that saw the
+// crash says so with its release, and a refused connection proves it.
+func TestCrashedEngineGetsNoGrantAfterItsFirstLostStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, loads := running(t)
+		grant := mustGrant(t, a, grantRequest("r1"))
+		loads.Refuse(testAddress)
+		_, err := a.Release(t.Context(), &carobstilev1.ReleaseRequest{Pool: "p", Grants: []*carobstilev1.ReleasedGrant{
+			{GrantId: grant.GetGrantId(), Outcome: carobstilev1.Outcome_OUTCOME_LOST},
+		}})
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Zero(t, a.Status()[0].GetEnginesReady())
+		require.Equal(t, carobstilev1.RefusalCode_REFUSAL_CODE_NO_ENGINE, refusalCode(t, a, grantRequest("r2")))
+	})
+}
+
 // Guards against races of the shell, and memory that is lost when answers, timers and releases cross.
 func TestConcurrentRequests(t *testing.T) {
 	a, _ := started(t)
--- a/internal/alloccore/core.go
+++ b/internal/alloccore/core.go
@@ -225,6 +225,9 @@
 	}
 	e.answered = true
 	e.failures++
+	if ev.Refused {
+		e.failures = max(e.failures, failuresAllowed+1)
+	}
 	c.openIfReady(ev.Now)
 }
 
--- a/internal/alloccore/events.go
+++ b/internal/alloccore/events.go
@@ -110,6 +110,8 @@
 	EngineUnreachable struct {
 		Now    core.Micros `json:"now"`
 		Engine string      `json:"engine"`
+		// Refused is true when the engine's host refused the connection, which proves that no engine runs there.
+		Refused bool `json:"refused,omitempty"`
 	}
 	// GrantAsked is a request for engines. Ask numbers are chosen by the shell and never repeat.
 	GrantAsked struct {
--- a/internal/devdeploy/devdeploy.go
+++ b/internal/devdeploy/devdeploy.go
@@ -65,6 +65,8 @@
 	EnginesPerDomain int
 	// Engine is the template of the engines' settings.
 	Engine fakeengine.Settings
+	// EmptyEngines start without a model; the controller places it.
+	EmptyEngines bool
 	// LameDuckMs and StopGraceMs of the daemons.
 	LameDuckMs  int
 	StopGraceMs int
@@ -145,7 +147,11 @@
 			s := w.plan.Engine
 			s.Listen = w.address(enginePort + n)
 			s.Seed = uint64(n + 1)
-			s.Models = []engine.LoadedModel{{Name: Model, Version: "1"}}
+			s.WeightStore = w.d.Platform
+			s.Models = []engine.LoadedModel{}
+			if !w.plan.EmptyEngines {
+				s.Models = append(s.Models, engine.LoadedModel{Name: Model, Version: "1"})
+			}
 			w.d.Engines[name] = s.Listen
 			w.process(name, "fakeengine", s)
 			w.d.Document.BackendServers = append(w.d.Document.BackendServers, config.BackendServer{
@@ -232,7 +238,7 @@
 
 // longestPrompt is what the engines of one pool can hold together, with room for the answer.
 func (w *writer) longestPrompt() int {
-	return w.plan.Engine.WithDefaults().KVTokens * w.plan.EnginesPerDomain / 2
+	return w.plan.Engine.WithDefaults().KVTokens * w.plan.EnginesPerDomain * 3 / 4
 }
 
 func (w *writer) key() string {
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -3,11 +3,9 @@
 package e2e
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,12 +14,14 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/confstore"
 	"github.com/carobstile/carobstile/internal/devdeploy"
 	"github.com/carobstile/carobstile/internal/fakeengine"
@@ -59,6 +59,7 @@
 	t         *testing.T
 	mu        sync.Mutex
 	processes map[string]*process
+	stopped   bool
 }
 
 type process struct {
@@ -70,73 +71,166 @@
 
 // start writes and starts a deployment, applies its configuration and waits until every daemon is ready.
 func start(t *testing.T, change func(plan *devdeploy.Plan)) *deployment {
-	plan := devdeploy.Plan{
-		Dir: t.TempDir(), BasePort: freePorts(t), Hosts: 3, Domains: 3, EnginesPerDomain: 1, LameDuckMs: 300, StopGraceMs: 20_000,
-		Engine: fakeengine.Settings{TimeScale: 4, KVTokens: 50_000},
-	}
-	if change != nil {
-		change(&plan)
+	return startWith(t, change, nil)
+}
+
+// startTries bounds the ranges of ports that are tried: another process may take a port between the check and the
+// start.
+const startTries = 5
+
+// startWith is start with a change of the configuration document.
+func startWith(t *testing.T, change func(plan *devdeploy.Plan), edit func(doc *config.Document)) *deployment {
+	for range startTries {
+		plan := devdeploy.Plan{
+			Dir: t.TempDir(), BasePort: ports.take(t), Hosts: 3, Domains: 3, EnginesPerDomain: 1, LameDuckMs: 300,
+			StopGraceMs: 20_000, Engine: fakeengine.Settings{TimeScale: 4, KVTokens: 50_000},
+		}
+		if change != nil {
+			change(&plan)
+		}
+		d := newDeployment(t, plan)
+		if edit != nil {
+			edit(&d.Document)
+		}
+		if !d.startAll() {
+			t.Logf("a process ended at its start, perhaps because a port from %d on is taken; trying others", plan.BasePort)
+			d.printLogs(func(p *process) bool { return p.ended() })
+			d.stopAll()
+			continue
+		}
+		t.Cleanup(func() {
+			d.stopAll()
+			d.scanLogs()
+		})
+		d.apply()
+		for _, h := range d.Hosts {
+			d.waitReady(h)
+		}
+		return d
 	}
+	t.Fatal("no free range of ports")
+	return nil
+}
+
+func newDeployment(t *testing.T, plan devdeploy.Plan) *deployment {
 	written, err := devdeploy.Write(plan)
 	require.NoError(t, err)
-	d := &deployment{Deployment: written, t: t, processes: map[string]*process{}}
-	t.Cleanup(d.stopAll)
-	for _, p := range written.Processes {
+	return &deployment{Deployment: written, t: t, processes: map[string]*process{}}
+}
+
+// startAll starts all processes and reports whether they serve. A process that ends at once did not get its port.
+func (d *deployment) startAll() bool {
+	addresses := []string{d.Platform, d.Service, d.Console}
+	for _, address := range d.Engines {
+		addresses = append(addresses, address)
+	}
+	for _, h := range d.Hosts {
+		addresses = append(addresses, h.Caller, h.Admin, h.Peer, h.ControllerAdmin)
+	}
+	for _, p := range d.Processes {
 		d.run(p)
 	}
-	d.apply()
-	for _, h := range written.Hosts {
-		d.waitReady(h)
+	for _, address := range addresses {
+		if !d.serves(address) {
+			return false
+		}
 	}
-	return d
+	return !d.anyEnded()
 }
 
-// freePorts returns the first of a range of ports that are free now. The range is below the ports that the kernel gives
-// to outgoing connections.
-func freePorts(t *testing.T) int {
-	for base := 12_000 + os.Getpid()%100*150; base < 30_000; base += 150 {
-		if free(base) {
-			return base
+func (d *deployment) serves(address string) bool {
+	for limit := time.Now().Add(startTimeout); time.Now().Before(limit) && !d.anyEnded(); time.Sleep(poll) {
+		if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+			_ = conn.Close()
+			return true
 		}
 	}
-	t.Fatal("no free range of ports")
-	return 0
+	return false
 }
 
-func free(base int) bool {
-	for port := base; port < base+150; port++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			return false
+func (d *deployment) anyEnded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.processes {
+		if p.ended() {
+			return true
 		}
-		_ = l.Close()
 	}
-	return true
+	return false
 }
 
-func (d *deployment) run(p devdeploy.Process) *process {
+// run starts a process; a deployment that stops starts none.
+func (d *deployment) run(p devdeploy.Process) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return
+	}
 	cmd := exec.Command(filepath.Join(binaries, p.Binary), "--settings", p.Settings)
 	path := filepath.Join(d.Dir, p.Name+".log")
 	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(d.t, err)
+	if err != nil {
+		d.t.Errorf("log of %s: %v", p.Name, err)
+		return
+	}
 	cmd.Stdout, cmd.Stderr = out, out
-	require.NoError(d.t, cmd.Start())
+	if err := cmd.Start(); err != nil {
+		d.t.Errorf("start of %s: %v", p.Name, err)
+		return
+	}
 	started := &process{plan: p, cmd: cmd, done: make(chan struct{}), log: path}
 	go func() {
 		_ = cmd.Wait() // the exit of a killed process is expected
 		_ = out.Close()
 		close(started.done)
 	}()
+	d.processes[p.Name] = started
+}
+
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// restartPause is the time from the end of an engine's process to its restart by the platform.
+const restartPause = 300 * time.Millisecond
+
+// superviseEngines restarts engines that end, as the platform does. It returns the number of restarts so far.
+func (d *deployment) superviseEngines() *atomic.Int64 {
+	var restarts atomic.Int64
+	for name := range d.Engines {
+		go func() {
+			for !d.stopping() {
+				<-d.process(name).done
+				time.Sleep(restartPause)
+				if !d.stopping() {
+					restarts.Add(1)
+					d.restart(name)
+				}
+			}
+		}()
+	}
+	return &restarts
+}
+
+func (d *deployment) stopping() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.processes[p.Name] = started
-	return started
+	return d.stopped
 }
 
-func (d *deployment) signal(name string, sig syscall.Signal) *process {
+func (d *deployment) process(name string) *process {
 	d.mu.Lock()
-	p := d.processes[name]
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	return d.processes[name]
+}
+
+func (d *deployment) signal(name string, sig syscall.Signal) *process {
+	p := d.process(name)
 	require.NotNil(d.t, p, name)
 	require.NoError(d.t, p.cmd.Process.Signal(sig))
 	return p
@@ -157,23 +251,29 @@
 	}
 }
 
-func (d *deployment) restart(name string) { d.run(d.processes[name].plan) }
+func (d *deployment) restart(name string) { d.run(d.process(name).plan) }
 
 func (d *deployment) stopAll() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
 	for _, p := range d.processes {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 		<-p.done
 	}
 	if d.t.Failed() {
-		d.printLogs()
+		d.printLogs(func(*process) bool { return true })
 	}
 }
 
 const tailLines = 40
 
-func (d *deployment) printLogs() {
+func (d *deployment) printLogs(of func(p *process) bool) {
 	for name, p := range d.processes {
+		if !of(p) {
+			continue
+		}
 		data, err := os.ReadFile(p.log)
 		if err != nil {
 			continue
@@ -240,108 +340,5 @@
 	require.NoError(d.t, err)
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(resp.Body)
-	require.Equal(d.t, http.StatusOK, resp.StatusCode, "%s", text)
-}
-
-// answer is a streamed answer as the caller sees it.
-type answer struct {
-	status   int
-	body     string
-	tokens   []string
-	lastID   string
-	complete bool
-	err      error
-	// errorCode is the code of an error event or of an error body.
-	errorCode string
-	run       string
-	first     time.Duration
-}
-
-func (a answer) text() string { return strings.Join(a.tokens, "") }
-
-// seed of all chat requests, so that every engine gives the same answer to a prompt.
-const seed = 7
-
-// expected is the whole answer to a prompt.
-func expected(prompt string, maxTokens int) string {
-	return fakeengine.NewAnswer(prompt, devdeploy.Model, "1", seed).Text(0, maxTokens)
-}
-
-// chat sends a streamed chat request. each, if set, is called with the number of tokens received so far.
-func chat(ctx context.Context, address, key, prompt string, maxTokens int, lastID string, each func(n int)) answer {
-	body, _ := json.Marshal(map[string]any{
-		"model": devdeploy.Model, "stream": true, "max_tokens": maxTokens, "seed": seed,
-		"messages": []map[string]string{{"role": "user", "content": prompt}},
-	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return answer{err: err}
-	}
-	req.Header.Set("Authorization", "Bearer "+key)
-	if lastID != "" {
-		req.Header.Set("Last-Event-ID", lastID)
-	}
-	began := time.Now()
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	return readAnswer(resp, began, each)
-}
-
-type errorBody struct {
-	Error struct{ Code, Run, Message string }
-}
-
-func readAnswer(resp *http.Response, began time.Time, each func(n int)) answer {
-	a := answer{status: resp.StatusCode}
-	if resp.StatusCode != http.StatusOK {
-		data, _ := io.ReadAll(resp.Body)
-		a.body = string(data)
-		var e errorBody
-		_ = json.Unmarshal(data, &e)
-		a.errorCode, a.run = e.Error.Code, e.Error.Run
-		return a
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, 1<<20)
-	failed := false
-	for lines.Scan() {
-		line := lines.Text()
-		switch {
-		case strings.HasPrefix(line, "id: "):
-			a.lastID = strings.TrimPrefix(line, "id: ")
-		case strings.HasPrefix(line, "event: error"):
-			failed = true
-		case line == "data: [DONE]":
-			a.complete = true
-		case strings.HasPrefix(line, "data: "):
-			a.data(strings.TrimPrefix(line, "data: "), failed, began, each)
-		}
-	}
-	a.err = lines.Err()
-	return a
-}
-
-func (a *answer) data(text string, failed bool, began time.Time, each func(n int)) {
-	if failed {
-		var e errorBody
-		_ = json.Unmarshal([]byte(text), &e)
-		a.errorCode, a.run = e.Error.Code, e.Error.Run
-		return
-	}
-	var chunk struct {
-		Choices []struct{ Delta struct{ Content string } }
-	}
-	if json.Unmarshal([]byte(text), &chunk) != nil || len(chunk.Choices) == 0 || chunk.Choices[0].Delta.Content == "" {
-		return
-	}
-	if len(a.tokens) == 0 {
-		a.first = time.Since(began)
-	}
-	a.tokens = append(a.tokens, chunk.Choices[0].Delta.Content)
-	if each != nil {
-		each(len(a.tokens))
-	}
+	require.Equal(d.t, 2, resp.StatusCode/100, "%d %s", resp.StatusCode, text)
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -171,11 +171,16 @@
 	g.step(gatecore.CallerReady{Now: g.now(), Request: f.handle})
 }
 
-// probeTimeout bounds the question whether an engine is still the one that an attempt was sent to.
-const probeTimeout = 300 * time.Millisecond
+// probeTimeout bounds the question whether an engine is still the one that an attempt was sent to; probePause is the
+// time between two tries.
+const (
+	probeTimeout = 300 * time.Millisecond
+	probePause   = 20 * time.Millisecond
+)
 
 // causeOf types the end of an attempt. A broken connection alone does not tell a dead engine from a dead connection,
-// so the engine is asked for its incarnation.
+// so the engine is asked for its incarnation. A process that is ending can still accept a connection and then break it,
+// so that a broken question proves nothing and is asked again.
 func (g *Gate) causeOf(a *attempt, err error) gatecore.Cause {
 	var typed *EngineError
 	if errors.As(err, &typed) && typed.Cause != gatecore.CauseLost {
@@ -183,12 +188,20 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
 	defer cancel()
-	incarnation, err := g.opts.Engines.Incarnation(ctx, a.address)
-	if errors.As(err, &typed) && typed.Cause == gatecore.CauseConnectFailed {
-		return gatecore.CauseCrashed
-	}
-	if err == nil && a.incarnation != "" && incarnation != a.incarnation {
-		return gatecore.CauseCrashed
+	for {
+		incarnation, err := g.opts.Engines.Incarnation(ctx, a.address)
+		switch {
+		case err == nil && a.incarnation != "" && incarnation != a.incarnation:
+			return gatecore.CauseCrashed
+		case err == nil:
+			return gatecore.CauseLost
+		case errors.As(err, &typed) && typed.Cause == gatecore.CauseConnectFailed:
+			return gatecore.CauseCrashed
+		}
+		select {
+		case <-time.After(probePause):
+		case <-ctx.Done():
+			return gatecore.CauseLost
+		}
 	}
-	return gatecore.CauseLost
 }
--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,6 +75,24 @@
 	}
 }
 
+// Guards against a crash that is taken for a broken connection because the dying process breaks the question after its
+// incarnation as well: the crash record was missing, so that a request crashed more engines than the limit allows.
+func TestBrokenQuestionIsAskedAgain(t *testing.T) {
+	var asked atomic.Int64
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = firstFails(2, FakeStep{Err: &EngineError{Cause: gatecore.CauseLost}})
+		f.engines.IncarnationOf = func(string) (string, error) {
+			if asked.Add(1) == 1 {
+				return "", &EngineError{Cause: gatecore.CauseLost}
+			}
+			return "", &EngineError{Cause: gatecore.CauseConnectFailed}
+		}
+	})
+	resp, _ := f.chat(wholeBody)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 1, f.grants.Asks()[1].Request.SuspectCount)
+}
+
 // Guards against a request that goes on crashing engines past the limit, here and at its repeat.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	f := newFixture(t, func(f *fixture) {
