--- a/cmd/fakeengine/main.go
+++ b/cmd/fakeengine/main.go
@@ -24,20 +24,25 @@
 	Check    bool   `long:"check" description:"print all findings in the settings and exit"`
 }
 
-// exitCrashed is the exit status after a prompt or a fault command crashed the engine.
-const exitCrashed = 3
+const (
+	// exitSettings is the exit status for a wrong command line or settings, as of the other binaries.
+	exitSettings = 2
+	// exitCrashed is the exit status after a prompt or a fault command crashed the engine.
+	exitCrashed = 3
+)
 
 func main() {
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
-		os.Exit(2)
+		os.Exit(exitSettings)
 	}
 	set, err := fakeengine.ReadSettings(opts.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitSettings)
 	}
 	if opts.Check {
+		fmt.Println("settings are valid")
 		return
 	}
 	if err := serve(set); err != nil {
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/carobstile/carobstile/internal/config"
@@ -143,16 +144,23 @@
 	return nil
 }
 
+// survey asks the daemons until none is behind or ctx ends. A daemon that once had the generation in force keeps it, so
+// that the last round, which the end of the wait cuts short, only adds to what is known.
 func (c *cli) survey(ctx context.Context, out *applyOutput) {
 	client := c.fleet()
 	out.Waited = true
+	reached := map[string]bool{}
+	var known []fleet.Daemon
 	for {
 		daemons := client.Survey(ctx)
-		behind := fleet.Behind(daemons, out.Generation)
-		if ctx.Err() == nil || out.Daemons == 0 {
-			out.Daemons, out.Behind = len(daemons), behindItems(behind)
-			out.InForce = len(behind) == 0
+		if ctx.Err() == nil || known == nil {
+			known = daemons
 		}
+		for _, d := range daemons {
+			reached[d.Admin] = reached[d.Admin] || d.Generation() >= out.Generation
+		}
+		behind := slices.DeleteFunc(fleet.Behind(known, out.Generation), func(d fleet.Daemon) bool { return reached[d.Admin] })
+		out.Daemons, out.Behind, out.InForce = expected(known), behindItems(behind), len(behind) == 0
 		if out.InForce || ctx.Err() != nil {
 			return
 		}
@@ -164,6 +172,17 @@
 	}
 }
 
+// expected counts the daemons that should follow the configuration; dead and leaving ones do not.
+func expected(daemons []fleet.Daemon) int {
+	n := 0
+	for _, d := range daemons {
+		if d.Expected() {
+			n++
+		}
+	}
+	return n
+}
+
 func behindItems(daemons []fleet.Daemon) []behindItem {
 	var out []behindItem
 	for _, d := range daemons {
--- a/internal/fakeengine/fault_test.go
+++ b/internal/fakeengine/fault_test.go
@@ -237,7 +237,7 @@
 // Guards against settings that are wrong in several places being reported one at a time.
 func TestSettingsFindings(t *testing.T) {
 	_, err := ParseSettings([]byte("{\n\"timeScale\": -1,\n\"role\": \"x\",\n\"models\": [{\"name\": \"m\"}]}"))
-	require.EqualError(t, err, `1:1 /listen: expected an IP address and port
+	require.EqualError(t, err, `1:1 /listen: expected an IP address and port such as 127.0.0.1:8080, got ""
 2:14 /timeScale: expected a number above 0
 3:9 /role: expected mixed, prefill or decode
 4:12 /models/0: expected a name and a version`)
--- a/internal/fakeengine/settings.go
+++ b/internal/fakeengine/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/findings"
+	"github.com/carobstile/carobstile/internal/settings"
 )
 
 // Settings of one engine. Zero values take the defaults of WithDefaults.
@@ -110,20 +111,18 @@
 // ParseSettings checks settings and fills in defaults.
 func ParseSettings(data []byte) (Settings, error) {
 	var s Settings
-	places, list := findings.Decode(data, &s)
-	if err := list.Err(); err != nil {
+	if err := settings.Parse(data, &s); err != nil {
 		return Settings{}, err
 	}
-	s = s.WithDefaults()
-	list.Append(places.Locate(s.check())...)
-	return s, list.Err()
+	return s.WithDefaults(), nil
 }
 
+// Check implements settings.Checker.
+func (s *Settings) Check(list *findings.List) { list.Append(s.WithDefaults().check()...) }
+
 func (s Settings) check() []findings.Finding {
 	var l findings.List
-	if s.Listen == "" {
-		l.Add("/listen", "expected an IP address and port")
-	}
+	settings.Address(&l, "/listen", s.Listen)
 	for name, v := range map[string]float64{
 		"/timeScale": s.TimeScale, "/step/baseMicros": s.Step.BaseMicros,
 		"/step/prefillTokenMicros": s.Step.PrefillTokenMicros, "/step/decodeTokenMicros": s.Step.DecodeTokenMicros,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// callTimeout bounds one question; a daemon answers from memory, in milliseconds.
-	callTimeout = 3 * time.Second
+	// callTimeout bounds one question; a daemon answers from memory, in milliseconds. A round of questions takes as long as
+	// its slowest answer, so that one paused daemon must not use up the wait of an apply.
+	callTimeout = 1 * time.Second
 	// parallelCalls bounds the open questions of one round.
 	parallelCalls = 32
 	// maxStatusBytes bounds one answer: 360 members and the engines of a few pools take under 100 KB.
@@ -175,10 +176,8 @@
 	for _, m := range members {
 		byAddress[s.client.adminOf(m)] = m
 	}
-	for address, d := range s.asked {
-		if m := byAddress[address]; d.Status == nil && address != "" && m != nil {
-			d.Name, d.Member = m.GetName(), m
-		}
+	s.nameSilent(byAddress)
+	for _, d := range s.asked {
 		seen[d.Name] = true
 		out = append(out, *d)
 	}
@@ -194,6 +193,51 @@
 	return out
 }
 
+// nameSilent gives daemons that did not answer the name of their member, so that none is listed both by its address and by
+// its name. The member is the one with that admin address, or the only silent one on the IP of the only silent address.
+func (s *survey) nameSilent(byAddress map[string]*pb.Member) {
+	silent := map[string][]*Daemon{}
+	members := s.silentMembers()
+	for address, d := range s.asked {
+		if d.Status != nil {
+			continue
+		}
+		if m := byAddress[address]; m != nil {
+			d.Name, d.Member = m.GetName(), m
+			ip := hostOf(m.GetAddress())
+			members[ip] = slices.DeleteFunc(members[ip], func(other *pb.Member) bool { return other == m })
+			continue
+		}
+		silent[hostOf(address)] = append(silent[hostOf(address)], d)
+	}
+	for ip, daemons := range silent {
+		if len(daemons) == 1 && len(members[ip]) == 1 {
+			daemons[0].Name, daemons[0].Member = members[ip][0].GetName(), members[ip][0]
+		}
+	}
+}
+
+// silentMembers returns the members without an answer by the IP of their peer address. Dead ones are left out, since a
+// replaced host often takes over the IP of a dead one.
+func (s *survey) silentMembers() map[string][]*pb.Member {
+	answered := map[string]bool{}
+	for _, d := range s.asked {
+		answered[d.Status.GetSelf().GetName()] = true
+	}
+	out := map[string][]*pb.Member{}
+	for _, m := range s.members() {
+		if ip := hostOf(m.GetAddress()); !answered[m.GetName()] && m.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
+			out[ip] = append(out[ip], m)
+		}
+	}
+	return out
+}
+
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address) // an address without a port matches none
+	return host
+}
+
 // Status returns a daemon's answer on /status.
 func (c *Client) Status(ctx context.Context, address string) (*pb.StatusResponse, error) {
 	data, err := c.get(ctx, address, "/status")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,8 +2,11 @@
 package settings
 
 import (
+	"encoding/json"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/carobstile/carobstile/internal/findings"
 	"github.com/cockroachdb/errors"
@@ -28,15 +31,36 @@
 // Parse is Load for settings already read.
 func Parse(data []byte, out Checker) error {
 	places, list := findings.Decode(data, out)
-	if list.Err() != nil {
+	if list.Err() != nil && !fill(data, out) {
 		return list.Err()
 	}
-	out.Check(list)
+	checked, all := &findings.List{}, &findings.List{}
+	out.Check(checked)
+	all.Append(list.Items()...)
+	for _, f := range checked.Items() {
+		if !covered(f.Pointer, list.Items()) {
+			all.Append(f)
+		}
+	}
 	located := &findings.List{}
-	located.Append(places.Locate(list.Items())...)
+	located.Append(places.Locate(all.Items())...)
 	return located.Err()
 }
 
+// fill decodes what can be decoded, so that values of the wrong type do not hide other findings. It returns false when
+// the text is no JSON.
+func fill(data []byte, out Checker) bool {
+	err := json.Unmarshal(data, out)
+	return err == nil || errors.As(err, new(*json.UnmarshalTypeError))
+}
+
+// covered reports whether a value was refused already; what Check says of its zero value would mislead.
+func covered(pointer string, refused []findings.Finding) bool {
+	return slices.ContainsFunc(refused, func(f findings.Finding) bool {
+		return f.Pointer == pointer || strings.HasPrefix(pointer, f.Pointer+"/")
+	})
+}
+
 // Address checks that a field holds an IP address and port.
 func Address(list *findings.List, pointer, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
