Show time to first token and outcomes on the status page, and repair the pages

Cause: the status page only summed counters over all labels, so it showed neither outcomes nor latencies.

Ruled out: a slowdown of short requests from exported metrics.

--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -78,7 +78,9 @@
 	require.NoError(t, err)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/metrics" {
-			_, _ = io.WriteString(w, "requests{code=\"200\"} 7\n")
+			_, _ = io.WriteString(w, "requests{code=\"200\"} 7\ncarobstile_gate_requests_ended{code=\"complete\"} 5\n"+
+				"carobstile_gate_first_token_bucket{class=\"long\",le=\"3\"} 2\n"+
+				"carobstile_gate_first_token_bucket{class=\"long\",le=\"+Inf\"} 3\n")
 			return
 		}
 		_, _ = w.Write(status)
--- a/internal/console/form.go
+++ b/internal/console/form.go
@@ -3,6 +3,7 @@
 import (
 	"net/url"
 	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 	"unicode"
@@ -69,7 +70,19 @@
 			b.WriteRune(r)
 		}
 	}
-	return b.String()
+	return strings.Replace(b.String(), "Kv ", "KV ", 1)
+}
+
+// subject is the field's Go name with which a doc comment begins. Operators know the field by its label.
+var subject = regexp.MustCompile(`^[A-Z][A-Za-z]* (?:is|are) (\pL)`)
+
+// help turns a field's doc comment into the text below its input.
+func help(doc string) string {
+	match := subject.FindStringSubmatchIndex(doc)
+	if match == nil {
+		return doc
+	}
+	return strings.ToUpper(doc[match[2]:match[3]]) + doc[match[3]:]
 }
 
 // formFields describes the inputs of a struct. docs are the doc comments by "<Type>.<Field>".
@@ -79,7 +92,7 @@
 		structField := value.Type().Field(i)
 		name := jsonName(structField)
 		f := field{
-			Name: name, Label: label(name), Help: docs[value.Type().Name()+"."+structField.Name], Findings: found[name],
+			Name: name, Label: label(name), Help: help(docs[value.Type().Name()+"."+structField.Name]), Findings: found[name],
 		}
 		f.fill(value.Field(i))
 		out = append(out, f)
--- a/internal/console/status.go
+++ b/internal/console/status.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -31,9 +34,21 @@
 	EnginesReady    uint32
 	KVUsed, KVTotal uint64
 	Metrics         []metric
-	sums            map[string]float64
+	Ended           []metric
+	FirstToken      []firstToken
+	sums            *fleet.Metrics
 }
 
+// firstToken is the time to first token of one length class, as upper bounds from the buckets of a histogram.
+type firstToken struct {
+	Class    string
+	Requests float64
+	P50, P95 string
+}
+
+// lengthClasses are the length classes of prompts as the gate names them, from short to long.
+var lengthClasses = []string{"short", "medium", "long"}
+
 // KVPercent is the share of the engines' KV memory in use.
 func (d *domainStatus) KVPercent() uint64 {
 	if d.KVTotal == 0 {
@@ -54,6 +69,7 @@
 
 type poolStatus struct {
 	Name, Allocator              string
+	Engines                      int
 	EnginesReady, Grants, Queued uint32
 }
 
@@ -80,7 +96,7 @@
 	for _, d := range daemons {
 		name := d.Member.GetFailureDomain()
 		if len(out) == 0 || out[len(out)-1].Name != name {
-			out = append(out, &domainStatus{Name: name, sums: map[string]float64{}})
+			out = append(out, &domainStatus{Name: name, sums: fleet.NewMetrics()})
 		}
 		out[len(out)-1].add(d, generation)
 	}
@@ -98,7 +114,7 @@
 	}
 	d.OpenStreams += one.Status.GetOpenStreams()
 	for _, p := range one.Status.GetPools() {
-		d.Pools = append(d.Pools, poolStatus{p.GetPool(), one.Name, p.GetEnginesReady(), p.GetGrants(), p.GetQueued()})
+		d.Pools = append(d.Pools, poolStatus{p.GetPool(), one.Name, len(p.GetEngines()), p.GetEnginesReady(), p.GetGrants(), p.GetQueued()})
 		d.Grants += p.GetGrants()
 		d.Queued += p.GetQueued()
 		d.EnginesReady += p.GetEnginesReady()
@@ -110,7 +126,7 @@
 	}
 }
 
-// addMetrics sums the counters and gauges of the daemons that answered.
+// addMetrics sums the metrics of the daemons that answered.
 func (c *Console) addMetrics(ctx context.Context, list []*domainStatus) {
 	var mu sync.Mutex
 	var group errgroup.Group
@@ -128,23 +144,39 @@
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				for name, value := range values {
-					domain.sums[name] += value
-				}
+				domain.sums.Add(values)
 				return nil
 			})
 		}
 	}
 	_ = group.Wait() // failures are logged one by one
 	for _, domain := range list {
-		for name, value := range domain.sums {
-			domain.Metrics = append(domain.Metrics, metric{name, value})
+		domain.Metrics, domain.Ended = sorted(domain.sums.Sums), sorted(domain.sums.Ended)
+		domain.FirstToken = firstTokens(domain.sums.FirstToken)
+	}
+}
+
+func sorted(values map[string]float64) []metric {
+	var out []metric
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		out = append(out, metric{name, values[name]})
+	}
+	return out
+}
+
+func firstTokens(byClass map[string]fleet.Buckets) []firstToken {
+	var out []firstToken
+	for _, class := range lengthClasses {
+		if b := byClass[class]; b.Count() > 0 {
+			out = append(out, firstToken{class, b.Count(), boundText(b.Quantile(0.5)), boundText(b.Quantile(0.95))})
 		}
-		slices.SortFunc(domain.Metrics, func(a, b metric) int {
-			if a.Name < b.Name {
-				return -1
-			}
-			return 1
-		})
 	}
+	return out
+}
+
+func boundText(seconds float64) string {
+	if math.IsInf(seconds, 1) {
+		return "above the largest bucket"
+	}
+	return fmt.Sprintf("at most %g s", seconds)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,7 +28,11 @@
 			if r.URL.Path == "/status" {
 				_, _ = w.Write(body)
 			} else {
-				_, _ = w.Write([]byte("# TYPE a counter\na{x=\"1}\"} 2\na{x=\"2\"} 3\nb_bucket{le=\"1\"} 9\nc 1.5 17\nbad\n"))
+				_, _ = w.Write([]byte("# TYPE a counter\na{x=\"1}\"} 2\na{x=\"2\"} 3\nb_bucket{le=\"1\"} 9\nc 1.5 17\nbad\n" +
+					"carobstile_gate_requests_ended{code=\"overloaded\"} 3\n" +
+					"carobstile_gate_first_token_bucket{class=\"short\",le=\"0.2\"} 6\n" +
+					"carobstile_gate_first_token_bucket{class=\"short\",le=\"0.35\"} 10\n" +
+					"carobstile_gate_first_token_bucket{class=\"short\",le=\"+Inf\"} 11\n"))
 			}
 		})}}
 	server.Start()
@@ -70,5 +75,13 @@
 	address := daemon(t, "127.0.0.1:0", &pb.StatusResponse{})
 	got, err := NewClient(nil, 0).Metrics(t.Context(), address)
 	require.NoError(t, err)
-	require.Equal(t, map[string]float64{"a": 5, "c": 1.5}, got)
+	require.Equal(t, map[string]float64{"a": 5, "c": 1.5, endedMetric: 3}, got.Sums)
+	sum := NewMetrics()
+	sum.Add(got)
+	sum.Add(got)
+	require.Equal(t, map[string]float64{"overloaded": 6}, sum.Ended)
+	short := sum.FirstToken["short"]
+	require.Equal(t, []float64{22, 0.2, 0.35, math.Inf(1)},
+		[]float64{short.Count(), short.Quantile(0.5), short.Quantile(0.9), short.Quantile(0.95)})
+	require.Zero(t, sum.FirstToken["long"].Quantile(0.5))
 }
