--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"time"
 
+	"github.com/carobstile/carobstile/internal/alloccore"
 	"github.com/carobstile/carobstile/internal/findings"
 	"github.com/carobstile/carobstile/internal/peer"
 	"github.com/carobstile/carobstile/internal/settings"
@@ -73,6 +74,9 @@
 	}
 	settings.Range(list, "/stopGraceMs", s.StopGraceMs, 0, maxStopGraceMs)
 	settings.Range(list, "/lameDuckMs", s.LameDuckMs, 0, maxStopGraceMs)
+	if _, err := alloccore.DefaultPolicy().Without(s.PolicyOff); err != nil {
+		list.Add("/policyOff", "%v", err)
+	}
 }
 
 func checkKeys(list *findings.List, pointer string, keys []string) {
--- a/internal/e2e/operator_test.go
+++ b/internal/e2e/operator_test.go
@@ -230,7 +230,7 @@
 func TestCheckReportsAllFindings(t *testing.T) {
 	d := &deployment{t: t, Deployment: &devdeploy.Deployment{Dir: t.TempDir()}}
 	for binary, faulty := range map[string]string{
-		"carobgate":       `{"name": 7, "callerAddress": "a", "adminAddress": "b", "peerAddress": "c", "platformAddress": "d", "seeds": ["e"], "clusterKeys": ["f"], "cursorKeys": ["g"], "credentials": {}, "stopGraceMs": -1, "lameDuckMs": -1, "region": "", "failureDomain": ""`,
+		"carobgate":       `{"name": 7, "callerAddress": "a", "adminAddress": "b", "peerAddress": "c", "platformAddress": "d", "seeds": ["e"], "clusterKeys": ["f"], "cursorKeys": ["g"], "credentials": {}, "stopGraceMs": -1, "lameDuckMs": -1, "policyOff": ["x"], "region": "", "failureDomain": ""`,
 		"carobcontroller": `{"name": "", "daemonAddress": "a", "adminAddress": "b", "platformAddress": "c", "credentials": {}`,
 		"carobconsole":    `{"address": "a", "platformAddress": "b", "admin": ["c"], "adminPort": -1, "sessionMinutes": -1, "operators": []`,
 		"carobctl":        `{"platform": "a", "admin": ["b"], "adminPort": 70000`,
