Delete unused chunks and expired claims, run by the watchers

Cause: chunks of replaced versions and claims past their retention stayed in the platform for ever.

Rule for chunks: a collector deletes a chunk that it has seen unused, at one version, for an hour. Before it deletes, it writes the root again, unchanged and conditionally, so that applies that began earlier fail their own condition and write their chunks again; each deletion is conditional on the version listed before that. Clocks and pauses do not matter. Claims are deleted an hour after their retention, conditional on the version listed.

Ruled out: deleting by age alone. Also ruled out: deletion by the writer, which leaves chunks of failed applies.

Changes to what exists: Apply starts over when only the root's version moved, and a reader that misses a chunk reads the root again. confsync runs functions while its daemon watches.

Before: nothing was deleted.

Conclusion: a chunk that a root names is not deleted. The load of the listings at the design size follows from the intervals and was not measured.

--- a/internal/confstore/apply.go
+++ b/internal/confstore/apply.go
@@ -55,16 +55,32 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.writeChunks(ctx, base, chunks); err != nil {
-		return nil, errors.Wrap(err, "write chunks; nothing was accepted")
+	for {
+		if err := s.writeChunks(ctx, base, chunks); err != nil {
+			return nil, errors.Wrap(err, "write chunks; nothing was accepted")
+		}
+		next := s.nextRoot(base, root, author)
+		version, err := s.writeRoot(ctx, base, &next)
+		if moved := onlyMoved(base, err); moved != nil {
+			base = moved
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		s.cache.replace(chunks)
+		return &Snapshot{Root: next, Version: version, Document: doc}, nil
 	}
-	next := s.nextRoot(base, root, author)
-	version, err := s.writeRoot(ctx, base, &next)
-	if err != nil {
-		return nil, err
+}
+
+// onlyMoved returns the root in force when a collector wrote the base again, unchanged. The chunks must then be written
+// once more, since the collector may have deleted them.
+func onlyMoved(base *Snapshot, err error) *Snapshot {
+	var conflict *ConflictError
+	if errors.As(err, &conflict) && conflict.Current.Root.Generation == base.Root.Generation {
+		return conflict.Current
 	}
-	s.cache.replace(chunks)
-	return &Snapshot{Root: next, Version: version, Document: doc}, nil
+	return nil
 }
 
 func (s *Store) nextRoot(base *Snapshot, root config.Root, author string) config.Root {
--- a/internal/confstore/confstore.go
+++ b/internal/confstore/confstore.go
@@ -56,16 +56,7 @@
 }
 
 // Read returns the version in force. Without any accepted version it returns an empty document at Version 0.
-func (s *Store) Read(ctx context.Context) (*Snapshot, error) {
-	root, version, err := s.readRoot(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if version == 0 {
-		return &Snapshot{Document: &config.Document{FormatVersion: config.FormatVersion}}, nil
-	}
-	return s.readDocument(ctx, root, version)
-}
+func (s *Store) Read(ctx context.Context) (*Snapshot, error) { return s.Refresh(ctx, nil) }
 
 func (s *Store) readRoot(ctx context.Context) (config.Root, uint64, error) {
 	var root config.Root
@@ -160,15 +151,22 @@
 // Refresh returns known when it is still in force, else the version in force. It costs one read of the root when nothing
 // changed.
 func (s *Store) Refresh(ctx context.Context, known *Snapshot) (*Snapshot, error) {
-	root, version, err := s.readRoot(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if known != nil && version <= known.Version {
-		return known, nil // an equal version, or a stale read
-	}
-	if version == 0 {
-		return &Snapshot{Document: &config.Document{FormatVersion: config.FormatVersion}}, nil
+	for last := uint64(0); ; {
+		root, version, err := s.readRoot(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if known != nil && version <= known.Version {
+			return known, nil // an equal version, or a stale read
+		}
+		if version == 0 {
+			return &Snapshot{Document: &config.Document{FormatVersion: config.FormatVersion}}, nil
+		}
+		snapshot, err := s.readDocument(ctx, root, version)
+		// A chunk may be collected while a newer version comes into force; the newer root names what there is.
+		if !errors.Is(err, platform.ErrNotFound) || version == last {
+			return snapshot, err
+		}
+		last = version
 	}
-	return s.readDocument(ctx, root, version)
 }
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -48,6 +48,9 @@
 	Peers   Fetcher
 	Members Membership
 	Log     *slog.Logger
+	// WhileWatching run in the background while this daemon is one of the watchers of its failure domain, until their
+	// context ends.
+	WhileWatching []func(ctx context.Context)
 	// Record, if not nil, is called with every event and its effects, in order, for golden sessions.
 	Record func(event confcore.Event, effects []confcore.Effect)
 }
@@ -215,6 +218,9 @@
 		ctx, cancel := context.WithCancel(s.ctx)
 		s.stopWatch = cancel
 		s.background.Go(func() { s.watch(ctx) })
+		for _, run := range s.options.WhileWatching {
+			s.background.Go(func() { run(ctx) })
+		}
 	}
 }
 
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -26,6 +26,8 @@
 	daemons     []*daemon
 	// bytes of all calls between daemons, below TLS.
 	bytes atomic.Uint64
+	// whileWatching is run by the daemons that watch.
+	whileWatching []func(ctx context.Context)
 }
 
 // countingListener counts the bytes of all accepted connections, both ways.
@@ -101,7 +103,10 @@
 		Name: self.Name, Address: self.Address, Region: "prairie-west", FailureDomain: self.FailureDomain, Seeds: seeds,
 		Seed: uint64(n), Transport: udp, Peers: pool, Log: evlog.Discard(),
 	})
-	configuration := New(Options{Self: self, Seed: uint64(n), Store: c.store, Peers: pool, Members: members, Log: evlog.Discard()})
+	configuration := New(Options{
+		Self: self, Seed: uint64(n), Store: c.store, Peers: pool, Members: members, Log: evlog.Discard(),
+		WhileWatching: c.whileWatching,
+	})
 	server, err := peer.NewServer(c.credentials, peer.Handlers{Members: members, Config: configuration}, clock)
 	require.NoError(t, err)
 	go func() { _ = server.Serve(countingListener{Listener: listener, bytes: &c.bytes}) }()
@@ -248,3 +253,21 @@
 	}
 	require.Equal(t, batchBytes, total)
 }
+
+// Guards against collectors that run at every daemon, or that go on after their daemon stopped watching.
+func TestOnlyWatchersRunTheWatchersWork(t *testing.T) {
+	c := newCluster(t)
+	var running atomic.Int64
+	c.whileWatching = []func(context.Context){func(ctx context.Context) {
+		running.Add(1)
+		<-ctx.Done()
+		running.Add(-1)
+	}}
+	c.start(t, 13) // three daemons in the first failure domain and two in each of the five others
+	require.Eventually(t, func() bool { return running.Load() == 12 }, 20*time.Second, 50*time.Millisecond)
+	require.Never(t, func() bool { return running.Load() > 12 }, time.Second, 50*time.Millisecond)
+	for _, d := range c.daemons {
+		d.stop()
+	}
+	require.Zero(t, running.Load())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/carobstile/carobstile/internal/claim"
 	"github.com/carobstile/carobstile/internal/confcore"
 	"github.com/carobstile/carobstile/internal/config"
+	"github.com/carobstile/carobstile/internal/confstore"
 	"github.com/carobstile/carobstile/internal/confsync"
 	"github.com/carobstile/carobstile/internal/crashes"
 	"github.com/carobstile/carobstile/internal/cursor"
@@ -96,6 +97,9 @@
 	d.conf = confsync.New(confsync.Options{
 		Self: confcore.Peer{Name: s.Name, Address: s.PeerAddress, FailureDomain: s.FailureDomain},
 		Seed: rand.Uint64(), Store: d.store, Peers: d.peers, Members: d.members, Log: d.log,
+		WhileWatching: []func(context.Context){
+			confstore.NewCollector(d.store, d.log).Run, claim.NewCollector(d.store, d.log).Run,
+		},
 	})
 	return nil
 }
