Use engine connections again, and decode repeated chunks by their shape

A profile of carobgate under long answers (scripts/measure-gate profile, 12 s) showed 22% of its CPU time in encoding/json for the engines' chunks, and every request opened a connection: the attempt was cancelled at the finish frame, before the end of the body was read, so that net/http closed the connection.

The reader now reads the end of a finished stream (at most 100 ms) before it ends the attempt. A chunk that differs from the last learned one only in the token's text is decoded as that one string; the shape is learned by decoding a changed copy and comparing it in full. Stream buffers of the engine client are 1 KB instead of 4 KB.

Ran: go test -race ./internal/gate ./internal/engine, ok.

--- a/internal/daemon/engines.go
+++ b/internal/daemon/engines.go
@@ -158,7 +158,8 @@
 		return gate.EngineEvent{}, typed(err)
 	}
 	if frame.Done {
-		return gate.EngineEvent{}, io.EOF
+		_, err := s.stream.Next() // reads the end, so that the connection can be used again
+		return gate.EngineEvent{}, typed(err)
 	}
 	return gate.EngineEvent{
 		Version:   s.version(frame),
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -27,6 +27,8 @@
 	maxControlBytes = 4 << 20
 	idlePerEngine   = 32
 	idleTimeout     = 30 * time.Second
+	// streamBufferBytes holds the headers of a request, and some events.
+	streamBufferBytes = 1 << 10
 )
 
 // HTTP is the Client over HTTP/1.1.
@@ -54,6 +56,9 @@
 		MaxIdleConnsPerHost: idlePerEngine,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// A waiting stream holds both buffers; bodies pass the write buffer by.
+		ReadBufferSize:  streamBufferBytes,
+		WriteBufferSize: streamBufferBytes,
 	}
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -18,6 +18,9 @@
 // maxLineBytes bounds one line of a stream; a chunk with one token takes about 300 bytes.
 const maxLineBytes = 64 << 10
 
+// lineBufferBytes holds some events of one token each, which take about 350 bytes.
+const lineBufferBytes = 1 << 10
+
 var errSilent = errors.New("no byte from the engine within the silence limit")
 
 // httpStream parses the SSE body of an answer.
@@ -31,6 +34,7 @@
 	lines    *bufio.Reader
 	finished bool // the finish frame was seen
 	done     bool // [DONE] was seen
+	shape    chunkShape
 	close    sync.Once
 }
 
@@ -42,7 +46,7 @@
 	if media != "text/event-stream" {
 		return s.protocol("content type %q instead of text/event-stream", media)
 	}
-	s.lines = bufio.NewReaderSize(&liveReader{s}, 4<<10)
+	s.lines = bufio.NewReaderSize(&liveReader{s}, lineBufferBytes)
 	return nil
 }
 
@@ -72,6 +76,8 @@
 // Next implements Stream.
 func (s *httpStream) Next() (Frame, error) {
 	if s.done {
+		// Reads the end of the body, without which net/http closes the connection instead of using it again.
+		_, _ = s.lines.ReadByte()
 		return Frame{}, io.EOF
 	}
 	var ev sseEvent
@@ -96,11 +102,14 @@
 	}
 }
 
-// line returns the next line without its end.
+// line returns the next line without its end, valid until the next call.
 func (s *httpStream) line() ([]byte, error) {
 	var out []byte
 	for {
 		part, err := s.lines.ReadSlice('\n')
+		if err == nil && out == nil {
+			return bytes.TrimRight(part, "\r\n"), nil
+		}
 		out = append(out, part...)
 		if err == nil {
 			return bytes.TrimRight(out, "\r\n"), nil
@@ -141,6 +150,10 @@
 	if !parseID(ev.id, &f) {
 		return Frame{}, s.protocol("id %.40q is not <attempt>:<offset>", ev.id)
 	}
+	if content, ok := s.shape.content(ev.data); ok {
+		f.Content, f.Fingerprint = content, s.shape.fingerprint
+		return f, nil
+	}
 	var chunk Chunk
 	if err := json.Unmarshal(ev.data, &chunk); err != nil {
 		return Frame{}, s.protocol("chunk: %v", err)
@@ -148,6 +161,7 @@
 	if len(chunk.Choices) != 1 {
 		return Frame{}, s.protocol("chunk with %d choices", len(chunk.Choices))
 	}
+	s.shape.learn(ev.data, &chunk)
 	f.Content = chunk.Choices[0].Delta.Content
 	f.Fingerprint = chunk.SystemFingerprint
 	f.Usage = chunk.Usage
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -127,9 +127,16 @@
 		if ev.Version != "" {
 			g.servedVersion(f, ev.Version)
 		}
+		if ev.Finish != "" {
+			g.keepOpen(a)
+		}
 		g.step(gatecore.Frame{
 			Now: g.now(), Request: f.handle, Attempt: ev.Attempt, Offset: ev.Offset, Text: ev.Text, Finish: ev.Finish,
 		})
+		if a.finished {
+			drain(a, stream)
+			return nil
+		}
 		if a.ctx.Err() != nil {
 			return nil // the frame ended the attempt
 		}
@@ -139,6 +146,25 @@
 	}
 }
 
+// drainTimeout bounds the wait for the end of a stream whose finish frame has arrived.
+const drainTimeout = 100 * time.Millisecond
+
+// keepOpen lets an attempt outlast the end of its request, so that the end of the stream can be read and the connection
+// used again. Cancelling it made every request open a connection.
+func (g *Gate) keepOpen(a *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.finished = true
+}
+
+// drain reads the end of a finished stream.
+func drain(a *attempt, stream EngineStream) {
+	defer a.cancel()
+	timer := time.AfterFunc(drainTimeout, a.cancel)
+	defer timer.Stop()
+	_, _ = stream.Recv() // whatever follows, the answer is complete
+}
+
 // servedVersion returns the model version of the answer, and sets it if it is not known yet.
 func (g *Gate) servedVersion(f *flight, version string) string {
 	g.mu.Lock()
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -47,6 +47,9 @@
 	cancel context.CancelFunc
 	// forward is closed when the answer of a plain service may be copied to the caller.
 	forward chan struct{}
+	// finished is true once the finish frame has arrived; the reader then ends the attempt. It is set by the reader
+	// under Gate.mu.
+	finished bool
 	// silence cancels a call on a pooled connection that gets no answer.
 	silence Timer
 
@@ -191,7 +194,9 @@
 
 func (g *Gate) cancelAttempt(f *flight, e gatecore.CancelStream) {
 	a := f.attempts[e.Attempt]
-	a.cancel()
+	if !a.finished || e.AtEngine {
+		a.cancel()
+	}
 	if !e.AtEngine {
 		return
 	}
@@ -218,7 +223,7 @@
 		t.Stop()
 	}
 	for _, a := range f.attempts {
-		if a.cancel != nil {
+		if a.cancel != nil && !a.finished {
 			a.cancel()
 		}
 	}
