Bound the large request bodies that a gate holds

Bodies over 64 KB now count against maxOpenBodyBytes (default 256 MiB, 64 prompts of a million tokens) from before they are read until the request is closed; above it a request is refused as overloaded, not_run. A body of unknown length counts as the largest allowed one while it is read. Short requests are not counted, as they must get through while huge ones are held. At most two large bodies are decoded at once, and buffers are made in the stated length instead of growing. Batches of tokens to a caller take 8 instead of 32 tokens, as the buffer stays with a waiting stream.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,7 +146,8 @@
 	d.gate = gate.New(gate.Options{
 		Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
 		Claims: d.claims, Crashes: d.crashes, Cursors: keyring, Leaving: d.leaving.contains, Log: d.log,
-		Scope: d.metrics.scope.SubScope("gate"),
+		MaxOpenBodyBytes: int64(d.settings.MaxOpenBodyBytes),
+		Scope:            d.metrics.scope.SubScope("gate"),
 	})
 	return nil
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -41,6 +41,10 @@
 	LameDuckMs int `json:"lameDuckMs,omitempty"`
 	// PolicyOff names allocator rules that are switched off for measurement.
 	PolicyOff []string `json:"policyOff,omitempty"`
+	// MaxOpenBodyBytes bounds the bytes of the request bodies over 64 KB held for open requests; default 268,435,456,
+	// which is 64 prompts of a million tokens. A request above it is refused as overloaded. This memory comes on top of
+	// the 128 MB that a daemon needs for control.
+	MaxOpenBodyBytes int `json:"maxOpenBodyBytes,omitempty"`
 	// Profiling serves profiles of the process (net/http/pprof) on the admin address; off by default, because a profile
 	// shows memory contents and takes CPU.
 	Profiling bool `json:"profiling,omitempty"`
@@ -51,6 +55,7 @@
 	defaultStopGraceMs = 300_000
 	defaultLameDuckMs  = 3_000
 	maxStopGraceMs     = 3_600_000
+	maxOpenBodyBound   = 64 << 30
 	keyBytes           = 32
 )
 
@@ -75,6 +80,7 @@
 		list.Add("/credentials", "%v", err)
 	}
 	settings.Range(list, "/stopGraceMs", s.StopGraceMs, 0, maxStopGraceMs)
+	settings.Range(list, "/maxOpenBodyBytes", s.MaxOpenBodyBytes, 0, maxOpenBodyBound)
 	settings.Range(list, "/lameDuckMs", s.LameDuckMs, 0, maxStopGraceMs)
 }
 
--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -37,7 +37,7 @@
 }
 
 // prepareChat reads and checks a chat request.
-func (g *Gate) prepareChat(w http.ResponseWriter, r *http.Request, arrived core.Micros) (*flight, *problem) {
+func (g *Gate) prepareChat(w http.ResponseWriter, r *http.Request, arrived core.Micros) (f *flight, p *problem) {
 	id, p := g.identify(r)
 	if p != nil {
 		return nil, p
@@ -46,16 +46,21 @@
 	if p != nil {
 		return nil, p
 	}
-	body, p := g.readBodyBefore(w, r, id.index.Limits.MaxBodyBytes, deadline)
+	body, held, p := g.readBodyBefore(w, r, id.index.Limits.MaxBodyBytes, deadline)
 	if p != nil {
 		return nil, p
 	}
-	m, p := parseChat(id, body)
+	defer func() {
+		if p != nil {
+			g.bodies.give(held)
+		}
+	}()
+	m, p := g.bodies.parse(r.Context(), len(body), func() (*modelRequest, *problem) { return parseChat(id, body) })
 	if p != nil {
 		return nil, p
 	}
 	m.created = int64(arrived / core.Second)
-	f := &flight{identity: id, model: m, arrived: arrived, deadline: deadline}
+	f = &flight{identity: id, model: m, arrived: arrived, deadline: deadline, heldBytes: held}
 	if p := g.identifyAnswer(f, r); p != nil {
 		return nil, p
 	}
@@ -75,16 +80,16 @@
 	return set
 }
 
-// readBodyBefore reads a whole body within the time of the request.
+// readBodyBefore reads a whole body within the time of the request and counts it among the bodies held.
 func (g *Gate) readBodyBefore(
 	w http.ResponseWriter, r *http.Request, limit int, deadline core.Micros,
-) ([]byte, *problem) {
+) (body []byte, held int64, p *problem) {
 	limitRead := g.limitBodyTime(w, deadline)
-	body, p := readBody(w, r, limit)
+	body, held, p = g.bodies.read(w, r, limit)
 	if p == nil {
 		limitRead(zeroTime)
 	}
-	return body, p
+	return body, held, p
 }
 
 // identifyAnswer sets request id and seed: from the cursor of a resumed request, else new ones.
--- a/internal/gate/deliver.go
+++ b/internal/gate/deliver.go
@@ -33,6 +33,8 @@
 	heartbeat *time.Ticker
 	// quiet is true when nothing was written since the last tick of heartbeat.
 	quiet bool
+	// batch is small, since it stays with a waiting stream; a caller that reads gets single tokens.
+	batch [batchTokens]gatecore.SendToken
 }
 
 // deliver writes to the caller until the request has ended.
@@ -55,15 +57,15 @@
 
 // run returns true when the answer or its error has been written whole.
 func (d *delivery) run() bool {
-	buf := make([]gatecore.SendToken, 0, batchTokens)
 	for {
-		batch, end := d.flight.out.peek(buf)
+		batch, end := d.flight.out.peek(&d.batch)
 		switch {
 		case len(batch) > 0:
 			if err := d.write(func() error { return d.sink.tokens(batch) }); err != nil {
 				return d.failed(err)
 			}
 			d.flight.out.taken(len(batch))
+			clear(batch)
 		case end.kind == endDrop:
 			return false
 		case end.kind != endNone:
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -22,6 +22,8 @@
 	identity  identity
 	arrived   core.Micros
 	deadline  core.Micros
+	// heldBytes of the body count among the bodies held until the request is closed.
+	heldBytes int64
 	out       *outbox
 	// ctx ends with the request; claims and grants are asked for under it.
 	ctx    context.Context
@@ -229,6 +231,7 @@
 	}
 	f.cancel()
 	delete(g.flights, f.handle)
+	g.bodies.give(f.heldBytes)
 	g.tally.ended(f.code)
 	g.opts.Log.Info("request ended", evlog.KeyRequest, f.requestID, "code", f.code, "run", f.failure.Run,
 		"reason", f.failure.Message, "workspace", f.identity.workspace.Name)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -26,6 +26,8 @@
 	start time.Time
 	tally gateTally
 	route *routeHealth
+	// bodies are the large request bodies held.
+	bodies *bodies
 	// services is the transport of idempotent calls.
 	services *http.Transport
 
@@ -65,10 +67,13 @@
 	if opts.Leaving == nil {
 		opts.Leaving = func(string) bool { return false }
 	}
+	if opts.MaxOpenBodyBytes == 0 {
+		opts.MaxOpenBodyBytes = DefaultMaxOpenBodyBytes
+	}
 	g := &Gate{
 		opts: opts, start: opts.Clock.Now(), tally: newGateTally(opts.Scope), route: newRouteHealth(),
 		services: newServiceTransport(), heartbeatInterval: heartbeatInterval, writeTimeout: writeTimeout,
-		core: gatecore.New(), flights: map[gatecore.Handle]*flight{}, idle: make(chan struct{}),
+		core: gatecore.New(), bodies: newBodies(opts.MaxOpenBodyBytes), flights: map[gatecore.Handle]*flight{}, idle: make(chan struct{}),
 	}
 	g.parent, g.stop = context.WithCancel(context.Background())
 	g.mux = http.NewServeMux()
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -33,6 +33,8 @@
 	crashes *FakeCrashes
 	gate    *Gate
 	server  *httptest.Server
+	// maxOpenBodyBytes is the option of the gate.
+	maxOpenBodyBytes int64
 	// session records what the reducer did.
 	session bytes.Buffer
 	codec   *golden.Codec
@@ -63,7 +65,7 @@
 	index := config.NewIndex(1, f.doc)
 	f.gate = New(Options{
 		Config: func() *config.Index { return index }, Grants: f.grants, Engines: f.engines, Claims: f.claims,
-		Crashes: f.crashes, Cursors: keys, Observe: f.record,
+		Crashes: f.crashes, Cursors: keys, Observe: f.record, MaxOpenBodyBytes: f.maxOpenBodyBytes,
 	})
 	f.server = httptest.NewServer(f.gate.Handler())
 	t.Cleanup(f.close)
--- a/internal/gate/options.go
+++ b/internal/gate/options.go
@@ -35,6 +35,9 @@
 	Log    *slog.Logger
 	Scope  tally.Scope
 	Random io.Reader
+	// MaxOpenBodyBytes bounds the bytes of the request bodies over 64 KB that the gate holds for open requests; a request
+	// above it is refused as overloaded. 0 means DefaultMaxOpenBodyBytes.
+	MaxOpenBodyBytes int64
 	// Observe, when set, gets every event of the reducer with its effects, in order, under the lock of the reducer;
 	// the effects are valid during the call.
 	Observe func(event gatecore.Event, effects []gatecore.Effect)
--- a/internal/gate/outbox.go
+++ b/internal/gate/outbox.go
@@ -10,7 +10,7 @@
 // Bounds of what waits for a caller.
 const (
 	outboxTokens = 256
-	batchTokens  = 32
+	batchTokens  = 8
 	// writeTimeout is how long a caller may not read before it is cut off.
 	writeTimeout = 10 * time.Second
 	// heartbeatInterval is how often a caller that waits gets a comment line, so that a dead one is noticed.
@@ -92,13 +92,13 @@
 }
 
 // peek copies the next tokens to buf and returns the end that follows the tokens that remain, if any.
-func (o *outbox) peek(buf []gatecore.SendToken) ([]gatecore.SendToken, ending) {
+func (o *outbox) peek(buf *[batchTokens]gatecore.SendToken) ([]gatecore.SendToken, ending) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.end.kind == endDrop {
 		return nil, o.end
 	}
-	n := copy(buf[:cap(buf)], o.tokens)
+	n := copy(buf[:], o.tokens)
 	if n > 0 {
 		return buf[:n], ending{}
 	}
--- a/internal/gate/parse.go
+++ b/internal/gate/parse.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -93,7 +92,7 @@
 	if r.ContentLength > int64(limit) {
 		return nil, tooLarge(limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength)
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return nil, tooLarge(limit)
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -34,11 +34,13 @@
 	header http.Header
 	limit  int // bytes of the answer's body
 	// body is the whole body, or its start when rest is set. The rest can be sent once only.
-	body     []byte
-	rest     *boundedReader
-	length   int64
-	key      string
-	bodyHash [sha256.Size]byte
+	body   []byte
+	rest   *boundedReader
+	length int64
+	// heldBytes of the body count among the bodies held.
+	heldBytes int64
+	key       string
+	bodyHash  [sha256.Size]byte
 
 	// claim and outcome are set before the ClaimResult event that names them.
 	claim   Claim
@@ -99,14 +101,15 @@
 	if call.key = r.Header.Get(headerIdempotencyKey); call.key == "" {
 		call.key = requestID // a random key: a repeat is a new request
 	}
-	return &flight{requestID: requestID, identity: id, call: call, arrived: arrived, deadline: deadline}, nil
+	return &flight{requestID: requestID, identity: id, call: call, arrived: arrived, deadline: deadline, heldBytes: call.heldBytes}, nil
 }
 
 // readCall reads what must be known before the call is sent: the whole body of a call that runs at most once, since
 // its claim holds the hash, else the part that can be sent again.
 func (g *Gate) readCall(w http.ResponseWriter, r *http.Request, call *serviceCall, deadline core.Micros) *problem {
 	if !call.route.Idempotent {
-		body, p := g.readBodyBefore(w, r, call.limit, deadline)
+		body, held, p := g.readBodyBefore(w, r, call.limit, deadline)
+		call.heldBytes = held
 		call.body, call.bodyHash, call.length = body, hashCall(call, body), int64(len(body))
 		return p
 	}
