Complete the time line of a request from gate to engine

Gate, allocator, claims and the engine stand-in log one line for each step. The hybrid logical clock goes to the engine and back in X-Clock, on stream requests only. Not carried: from a gate that died to the one that resumes, which the caller connects; their order rests on wall clocks, which differ by less than a second, and on the grants of a common pool.

--- a/cmd/fakeengine/main.go
+++ b/cmd/fakeengine/main.go
@@ -47,12 +47,13 @@
 }
 
 func serve(set fakeengine.Settings) error {
-	log := evlog.Stderr("fakeengine-"+set.Listen, slog.LevelInfo, evlog.NewClock(time.Now))
+	clock := evlog.NewClock(time.Now)
+	log := evlog.Stderr("fakeengine-"+set.Listen, slog.LevelInfo, clock)
 	listener, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return err
 	}
-	e := fakeengine.New(set, fakeengine.WithLog(log), fakeengine.WithCrash(func() { os.Exit(exitCrashed) }))
+	e := fakeengine.New(set, fakeengine.WithLog(log), fakeengine.WithClock(clock), fakeengine.WithCrash(func() { os.Exit(exitCrashed) }))
 	server := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
 	var group run.Group
 	group.Add(func() error {
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -177,6 +177,8 @@
 	if p == nil {
 		return refusal(alloccore.CodeNotAllocator, 0), nil
 	}
+	a.opts.Log.Info("grant asked", evlog.KeyRequest, req.GetRequestId(), evlog.KeyAttempt, req.GetAttempt(),
+		"pool", req.GetPool(), "gate", req.GetGate())
 	return p.grant(ctx, requestOf(req))
 }
 
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -4,25 +4,29 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/carobstile/carobstile/internal/claim"
+	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/gate"
 	"github.com/carobstile/carobstile/internal/gatecore"
+	"github.com/carobstile/carobstile/internal/platform"
 )
 
 // gateClaims offers claim.Claims to the gate.
 type gateClaims struct {
 	claims *claim.Claims
+	log    *slog.Logger
 
 	mu sync.Mutex
 	// held are the claims under way, by attempt id.
 	held map[string]*claim.Handle
 }
 
-func newGateClaims(claims *claim.Claims) *gateClaims {
-	return &gateClaims{claims: claims, held: map[string]*claim.Handle{}}
+func newGateClaims(claims *claim.Claims, log *slog.Logger) *gateClaims {
+	return &gateClaims{claims: claims, log: log, held: map[string]*claim.Handle{}}
 }
 
 var claimStatuses = map[claim.Decision]gatecore.ClaimStatus{
@@ -36,6 +40,8 @@
 // Acquire implements gate.Claims.
 func (c *gateClaims) Acquire(ctx context.Context, req gate.ClaimRequest) gate.ClaimAnswer {
 	result := c.claims.Acquire(ctx, req.Caller, req.Key, hex.EncodeToString(req.BodyHash[:]))
+	c.log.Info("claim answered", evlog.KeyRequest, req.RequestID, evlog.KeyObject,
+		platform.KindClaim+"/"+claim.Name(req.Caller, req.Key), "decision", string(result.Decision))
 	answer := gate.ClaimAnswer{Status: claimStatuses[result.Decision]}
 	switch result.Decision {
 	case claim.Dispatch:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,12 +137,14 @@
 	}
 	d.claims = newGateClaims(claim.New(claim.Options{
 		Store: d.store, Gate: d.settings.Name, NewID: uuid.NewString, Now: time.Now, Log: d.log,
-	}))
+	}), d.log)
 	limit := config.Limits{}.WithDefaults().CrashLimit
 	d.crashes = &crashBook{
 		set: crashes.NewSet(limit), members: d.members, store: d.store, current: d.conf.Current, log: d.log,
 	}
-	engines := &gateEngines{client: engine.NewHTTP(0), owner: d.settings.Name, log: d.log}
+	client := engine.NewHTTP(0)
+	client.Clock = d.clock
+	engines := &gateEngines{client: client, owner: d.settings.Name, log: d.log}
 	d.gate = gate.New(gate.Options{
 		Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
 		Claims: d.claims, Crashes: d.crashes, Cursors: keyring, Leaving: d.leaving.contains, Log: d.log,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,9 @@
 	HeaderModelVersion = "X-Model-Version"
 	// HeaderReservation is the id of the reservations of a multi-engine prompt; by default the request id.
 	HeaderReservation = "X-Reservation"
+	// HeaderClock is the sender's hybrid logical clock, "<wall micros>.<counter>", in the request and its answer. It
+	// orders the events of both processes in the time line.
+	HeaderClock = "X-Clock"
 )
 
 // Paths of the engine protocol.
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/carobstile/carobstile/internal/evlog"
 )
 
 // Limits of the HTTP client.
@@ -33,6 +35,9 @@
 
 // HTTP is the Client over HTTP/1.1.
 type HTTP struct {
+	// Clock, when set, is sent with each request for an answer and takes in the engine's.
+	Clock *evlog.Clock
+
 	silence time.Duration
 	pooled  *http.Transport
 	fresh   *http.Transport
@@ -73,6 +78,9 @@
 		cancel(nil)
 		return nil, &Error{Kind: KindUnreachable, Address: address, Err: err}
 	}
+	if c.Clock != nil {
+		httpReq.Header.Set(HeaderClock, c.Clock.Now().String())
+	}
 	body := &countingBody{Reader: bytes.NewReader(req.Body)}
 	httpReq.Body = body
 	transport := c.pooled
@@ -86,6 +94,7 @@
 		defer s.Close()
 		return nil, c.failed(ctx, address, err, body.read.Load())
 	}
+	ObserveClock(c.Clock, resp.Header)
 	if resp.StatusCode != http.StatusOK {
 		defer s.Close()
 		return nil, refusal(address, resp)
@@ -97,6 +106,16 @@
 	return s, nil
 }
 
+// ObserveClock takes in the clock of a message's sender, if it names one.
+func ObserveClock(clock *evlog.Clock, h http.Header) {
+	if clock == nil {
+		return
+	}
+	if t, err := evlog.ParseTimestamp(h.Get(HeaderClock)); err == nil {
+		clock.Observe(t)
+	}
+}
+
 // countingBody tells whether any byte of the request can have left. It has no GetBody, so that net/http never sends
 // it twice.
 type countingBody struct {
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/evlog"
 )
 
 // Limits of requests.
@@ -89,6 +90,7 @@
 }
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	engine.ObserveClock(e.clock, r.Header)
 	c, err := parseCall(r)
 	if err != nil {
 		refuse(w, http.StatusBadRequest, engine.CodeInvalidRequest, err.Error())
@@ -102,9 +104,15 @@
 	req, cn, refused := e.start(c, lead)
 	if refused != nil {
 		lead.abandon(e)
+		e.log.Info("request refused", evlog.KeyRequest, c.id, evlog.KeyAttempt, c.attempt, "code", refused.code)
 		refuse(w, refused.status, refused.code, refused.message)
 		return
 	}
+	e.log.Info("request accepted", evlog.KeyRequest, req.id, evlog.KeyAttempt, c.attempt, "resume_from", c.from,
+		"prompt_tokens", req.promptTokens)
+	if e.clock != nil {
+		w.Header().Set(engine.HeaderClock, e.clock.Now().String())
+	}
 	e.write(r.Context(), newFrames(w, req, c.attempt), req, cn, c.from)
 }
 
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -21,6 +21,7 @@
 	mux     *http.ServeMux
 	client  *engine.HTTP
 	log     *slog.Logger
+	clock   *evlog.Clock
 	onCrash func()
 	ctx     context.Context // ends with Close
 	stop    context.CancelFunc
@@ -62,6 +63,9 @@
 // the engine locked and must not call it.
 func WithCrash(f func()) Option { return func(e *Engine) { e.onCrash = f } }
 
+// WithClock sets the clock of the log, which takes in the clocks of callers and is sent with answers.
+func WithClock(c *evlog.Clock) Option { return func(e *Engine) { e.clock = c } }
+
 // WithLog sets the logger.
 func WithLog(l *slog.Logger) Option { return func(e *Engine) { e.log = l } }
 
--- a/internal/fakeengine/engine_test.go
+++ b/internal/fakeengine/engine_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/evlog"
 )
 
 // eventually is how long tests wait for a change of state.
@@ -236,3 +237,32 @@
 	require.NoError(t, err)
 	require.Positive(t, r.generated("long"), "its prompt came first and takes the whole budget")
 }
+
+// Guards against a time line that shows what an engine did before the gate's order, or the gate's next event before the
+// engine's, when their hosts' clocks differ.
+func TestAnswerCarriesTheClock(t *testing.T) {
+	ahead := evlog.NewClock(func() time.Time { return time.Now().Add(10 * time.Second) })
+	behind := evlog.NewClock(func() time.Time { return time.Now().Add(-10 * time.Second) })
+	e := New(Settings{Listen: "127.0.0.1:0", Models: []engine.LoadedModel{{Name: "m", Version: "v1"}}}, WithClock(behind))
+	server := httptest.NewServer(e)
+	t.Cleanup(func() { e.Close(); server.Close() })
+	client := engine.NewHTTP(time.Second)
+	client.Clock = ahead
+	sent := ahead.Now()
+	stream, err := client.Start(t.Context(), server.Listener.Addr().String(), engine.Request{
+		ID: "r", Attempt: 1, Body: []byte(`{"model":"m","max_tokens":1,"messages":[{"content":"x"}]}`),
+	})
+	require.NoError(t, err)
+	defer stream.Close()
+	atEngine := behind.Now()
+	require.True(t, sent.Less(atEngine))
+	require.Less(t, atEngine.WallMicros, sent.WallMicros+int64(5*time.Second/time.Microsecond))
+	client.Clock = behind
+	e.clock = ahead
+	again, err := client.Start(t.Context(), server.Listener.Addr().String(), engine.Request{
+		ID: "s", Attempt: 1, Body: []byte(`{"model":"m","max_tokens":1,"messages":[{"content":"x"}]}`),
+	})
+	require.NoError(t, err)
+	defer again.Close()
+	require.GreaterOrEqual(t, behind.Now().WallMicros, sent.WallMicros)
+}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -93,6 +93,8 @@
 // runAttempt performs gatecore.OpenStream and reads the stream to its end.
 func (g *Gate) runAttempt(f *flight, a *attempt, e gatecore.OpenStream) {
 	g.tally.attempt(gatecore.KindModel)
+	g.opts.Log.Info("attempt dispatched", evlog.KeyRequest, f.requestID, evlog.KeyAttempt, e.Attempt, "engine", a.engine,
+		"resume_from", e.ResumeFrom)
 	stream, err := g.opts.Engines.Open(a.ctx, EngineCall{
 		Address: a.address, RequestID: f.requestID, Attempt: e.Attempt, ResumeFrom: e.ResumeFrom, Seed: f.model.seed,
 		Version:  g.servedVersion(f, ""),
--- a/internal/gate/chat.go
+++ b/internal/gate/chat.go
@@ -10,6 +10,7 @@
 
 	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/engine"
+	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/gatecore"
 )
 
@@ -27,6 +28,7 @@
 		g.reject(w, r, notRun(gatecore.CodeBackendFailed, "no random source"))
 		return
 	}
+	g.logReceived(f)
 	g.admit(f, gatecore.RequestArrived{
 		Now: g.now(), Kind: gatecore.KindModel, Workspace: f.identity.workspace.Name,
 		MaxConcurrent: f.identity.workspace.MaxConcurrent, Deadline: f.deadline,
@@ -36,6 +38,16 @@
 	g.deliver(w, r, f, sink)
 }
 
+func (g *Gate) logReceived(f *flight) {
+	m := f.model
+	message := "request received"
+	if m.firstAttempt > 1 {
+		message = "request resumed"
+	}
+	g.opts.Log.Info(message, evlog.KeyRequest, f.requestID, "workspace", f.identity.workspace.Name, "model", m.name(),
+		"prompt_tokens", m.promptTokens, "max_tokens", m.maxTokens, "delivered", m.delivered)
+}
+
 // prepareChat reads and checks a chat request.
 func (g *Gate) prepareChat(w http.ResponseWriter, r *http.Request, arrived core.Micros) (f *flight, p *problem) {
 	id, p := g.identify(r)
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -63,6 +63,8 @@
 	}
 	w.Header().Set(engine.HeaderRequestID, f.requestID)
 	route := f.call.route
+	g.opts.Log.Info("request received", evlog.KeyRequest, f.requestID, "workspace", f.identity.workspace.Name,
+		"route", route.Name)
 	g.admit(f, gatecore.RequestArrived{
 		Now: g.now(), Kind: gatecore.KindService, Workspace: f.identity.workspace.Name,
 		MaxConcurrent: f.identity.workspace.MaxConcurrent, Deadline: f.deadline, FirstAttempt: 1,
