--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -92,6 +92,8 @@
 // runAttempt performs gatecore.OpenStream and reads the stream to its end.
 func (g *Gate) runAttempt(f *flight, a *attempt, e gatecore.OpenStream) {
 	g.tally.attempt(gatecore.KindModel)
+	g.opts.Log.Info("attempt dispatched", evlog.KeyRequest, f.requestID, evlog.KeyAttempt, e.Attempt, "engine", a.engine,
+		"resume_from", e.ResumeFrom)
 	stream, err := g.opts.Engines.Open(a.ctx, EngineCall{
 		Address: a.address, RequestID: f.requestID, Attempt: e.Attempt, ResumeFrom: e.ResumeFrom, Seed: f.model.seed,
 		HeldAttempt: heldAttempt(f.model, a),
@@ -135,9 +137,16 @@
 		if ev.Version != "" {
 			g.servedVersion(f, ev.Version)
 		}
+		if ev.Finish != "" {
+			g.keepOpen(a)
+		}
 		g.step(gatecore.Frame{
 			Now: g.now(), Request: f.handle, Attempt: ev.Attempt, Offset: ev.Offset, Text: ev.Text, Finish: ev.Finish,
 		})
+		if a.finished {
+			drain(a, stream)
+			return nil
+		}
 		if a.ctx.Err() != nil {
 			return nil // the frame ended the attempt
 		}
@@ -147,6 +156,25 @@
 	}
 }
 
+// drainTimeout bounds the wait for the end of a stream whose finish frame has arrived.
+const drainTimeout = 100 * time.Millisecond
+
+// keepOpen lets an attempt outlast the end of its request, so that the end of the stream can be read and the connection
+// used again. Cancelling it made every request open a connection.
+func (g *Gate) keepOpen(a *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.finished = true
+}
+
+// drain reads the end of a finished stream.
+func drain(a *attempt, stream EngineStream) {
+	defer a.cancel()
+	timer := time.AfterFunc(drainTimeout, a.cancel)
+	defer timer.Stop()
+	_, _ = stream.Recv() // whatever follows, the answer is complete
+}
+
 // servedVersion returns the model version of the answer, and sets it if it is not known yet.
 func (g *Gate) servedVersion(f *flight, version string) string {
 	g.mu.Lock()
--- a/internal/gate/driver.go
+++ b/internal/gate/driver.go
@@ -22,6 +22,8 @@
 	identity  identity
 	arrived   core.Micros
 	deadline  core.Micros
+	// heldBytes of the body count among the bodies held until the request is closed.
+	heldBytes int64
 	out       *outbox
 	// ctx ends with the request; claims and grants are asked for under it.
 	ctx    context.Context
@@ -47,6 +49,9 @@
 	cancel context.CancelFunc
 	// forward is closed when the answer of a plain service may be copied to the caller.
 	forward chan struct{}
+	// finished is true once the finish frame has arrived; the reader then ends the attempt. It is set by the reader
+	// under Gate.mu.
+	finished bool
 	// silence cancels a call on a pooled connection that gets no answer.
 	silence Timer
 
@@ -191,7 +196,9 @@
 
 func (g *Gate) cancelAttempt(f *flight, e gatecore.CancelStream) {
 	a := f.attempts[e.Attempt]
-	a.cancel()
+	if !a.finished || e.AtEngine {
+		a.cancel()
+	}
 	if !e.AtEngine {
 		return
 	}
@@ -218,12 +225,13 @@
 		t.Stop()
 	}
 	for _, a := range f.attempts {
-		if a.cancel != nil {
+		if a.cancel != nil && !a.finished {
 			a.cancel()
 		}
 	}
 	f.cancel()
 	delete(g.flights, f.handle)
+	g.bodies.give(f.heldBytes)
 	g.tally.ended(f.code)
 	g.opts.Log.Info("request ended", evlog.KeyRequest, f.requestID, "code", f.code, "run", f.failure.Run,
 		"reason", f.failure.Message, "workspace", f.identity.workspace.Name)
