--- a/cmd/carobdev/main.go
+++ b/cmd/carobdev/main.go
@@ -2,20 +2,26 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 
 	flags "github.com/jessevdk/go-flags"
 
 	"github.com/carobstile/carobstile/internal/devdeploy"
+	"github.com/carobstile/carobstile/internal/load"
 )
 
 type options struct {
-	Dir              string `long:"dir" default:"run" description:"directory for the settings"`
-	BasePort         int    `long:"base-port" default:"18000" description:"first of about a hundred ports"`
-	Hosts            int    `long:"hosts" default:"3" description:"number of entry hosts"`
-	Domains          int    `long:"domains" default:"3" description:"number of failure domains"`
-	EnginesPerDomain int    `long:"engines-per-domain" default:"2" description:"engines in the pool of each failure domain"`
+	Dir              string   `long:"dir" default:"run" description:"directory for the settings"`
+	BasePort         int      `long:"base-port" default:"18000" description:"first of about a hundred ports"`
+	Hosts            int      `long:"hosts" default:"3" description:"number of entry hosts"`
+	Domains          int      `long:"domains" default:"3" description:"number of failure domains"`
+	EnginesPerDomain int      `long:"engines-per-domain" default:"2" description:"engines in the pool of each failure domain"`
+	EngineSettings   string   `long:"engine-settings" value-name:"FILE" description:"JSON template of the engines' settings"`
+	PrefillRate      int      `long:"prefill-rate" description:"configured prefill rate of an engine in tokens a second"`
+	PolicyOff        []string `long:"policy-off" value-name:"RULE" description:"allocator rule to switch off, or picker=NAME; may be repeated"`
+	Mix              string   `long:"mix" value-name:"FILE" description:"load mix whose model, workspaces and routes are configured"`
 }
 
 func main() {
@@ -26,9 +32,7 @@
 		}
 		os.Exit(2)
 	}
-	deployment, err := devdeploy.Write(devdeploy.Plan{
-		Dir: o.Dir, BasePort: o.BasePort, Hosts: o.Hosts, Domains: o.Domains, EnginesPerDomain: o.EnginesPerDomain,
-	})
+	deployment, err := o.write()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -37,3 +41,27 @@
 		fmt.Println(p.Name, p.Binary, p.Settings)
 	}
 }
+
+func (o options) write() (*devdeploy.Deployment, error) {
+	plan := devdeploy.Plan{
+		Dir: o.Dir, BasePort: o.BasePort, Hosts: o.Hosts, Domains: o.Domains, EnginesPerDomain: o.EnginesPerDomain,
+		PrefillRate: o.PrefillRate, PolicyOff: o.PolicyOff,
+	}
+	if o.EngineSettings != "" {
+		data, err := os.ReadFile(o.EngineSettings)
+		if err != nil {
+			return nil, err
+		}
+		if err := json.Unmarshal(data, &plan.Engine); err != nil {
+			return nil, fmt.Errorf("%s: %w", o.EngineSettings, err)
+		}
+	}
+	if o.Mix != "" {
+		mix, err := load.ReadMix(o.Mix)
+		if err != nil {
+			return nil, err
+		}
+		plan.Mix = &mix
+	}
+	return devdeploy.Write(plan)
+}
--- a/internal/devdeploy/devdeploy.go
+++ b/internal/devdeploy/devdeploy.go
@@ -20,6 +20,7 @@
 	"github.com/carobstile/carobstile/internal/fakeengine"
 	"github.com/carobstile/carobstile/internal/fakeplatform"
 	"github.com/carobstile/carobstile/internal/fakeservice"
+	"github.com/carobstile/carobstile/internal/load"
 	"github.com/carobstile/carobstile/internal/password"
 	"github.com/carobstile/carobstile/internal/peer"
 )
@@ -51,6 +52,8 @@
 	enginePort   = 10
 	hostPort     = 60
 	portsPerHost = 4
+	// defaultPrefillRate is the configured prefill rate of an engine in tokens a second.
+	defaultPrefillRate = 20_000
 )
 
 // Plan is the size of a deployment.
@@ -65,6 +68,12 @@
 	EnginesPerDomain int
 	// Engine is the template of the engines' settings.
 	Engine fakeengine.Settings
+	// PrefillRate is the configured prefill rate of an engine in tokens a second; default 20,000.
+	PrefillRate int
+	// PolicyOff names allocator rules that are switched off for measurement.
+	PolicyOff []string
+	// Mix, if set, names the model, workspaces and routes to configure besides those of the deployment.
+	Mix *load.Mix
 	// LameDuckMs and StopGraceMs of the daemons.
 	LameDuckMs  int
 	StopGraceMs int
@@ -145,12 +154,12 @@
 			s := w.plan.Engine
 			s.Listen = w.address(enginePort + n)
 			s.Seed = uint64(n + 1)
-			s.Models = []engine.LoadedModel{{Name: Model, Version: "1"}}
+			s.Models = []engine.LoadedModel{{Name: w.model(), Version: "1"}}
 			w.d.Engines[name] = s.Listen
 			w.process(name, "fakeengine", s)
 			w.d.Document.BackendServers = append(w.d.Document.BackendServers, config.BackendServer{
 				Name: name, Address: s.Listen, Kind: config.KindEngine, Region: Region, FailureDomain: w.domain(domain),
-				Pool: "pool-" + w.domain(domain), KVTokens: s.WithDefaults().KVTokens, PrefillTokensPerSecond: 20_000,
+				Pool: "pool-" + w.domain(domain), KVTokens: s.WithDefaults().KVTokens, PrefillTokensPerSecond: w.prefillRate(),
 				DecodeTokensPerSecond: 100, ChecksFence: true, TrustworthyRefusals: true,
 			})
 			n++
@@ -175,7 +184,7 @@
 			Name: h.Name, Region: Region, FailureDomain: h.FailureDomain, CallerAddress: h.Caller, AdminAddress: h.Admin,
 			PeerAddress: h.Peer, PlatformAddress: w.d.Platform, Seeds: w.seeds(), ClusterKeys: []string{clusterKey},
 			CursorKeys: []string{cursorKey}, Credentials: credentials,
-			LameDuckMs: w.plan.LameDuckMs, StopGraceMs: w.plan.StopGraceMs,
+			LameDuckMs: w.plan.LameDuckMs, StopGraceMs: w.plan.StopGraceMs, PolicyOff: w.plan.PolicyOff,
 		})
 		w.process(h.Name+"-controller", "carobcontroller", controller.Settings{
 			Name: h.Name, DaemonAddress: h.Peer, AdminAddress: h.ControllerAdmin, PlatformAddress: w.d.Platform,
@@ -213,19 +222,20 @@
 	doc.BackendServers = append(doc.BackendServers, config.BackendServer{
 		Name: "service", Address: w.d.Service, Kind: config.KindService, Region: Region, FailureDomain: w.domain(0),
 	})
-	doc.Models = []config.Model{{Name: Model, Version: "1", MaxPromptTokens: w.longestPrompt(), MinReplicas: 1}}
+	doc.Models = []config.Model{{Name: w.model(), Version: "1", MaxPromptTokens: w.longestPrompt(), MinReplicas: 1}}
 	doc.Routes = []config.Route{
 		{Name: BellsRoute, BackendServers: []string{"service"}},
 		{Name: StatusRoute, BackendServers: []string{"service"}, Idempotent: true},
 	}
 	for name, key := range map[string]string{"trust": CallerKey, "norrvik": OtherKey} {
 		doc.Callers = append(doc.Callers, config.Caller{
-			Name: name, Priority: 5, Models: []string{Model}, Routes: []string{BellsRoute, StatusRoute},
+			Name: name, Priority: 5, Models: []string{w.model()}, Routes: []string{BellsRoute, StatusRoute},
 		})
 		doc.Workspaces = append(doc.Workspaces, config.Workspace{
 			Name: name + "-main", Caller: name, KeyHashes: []string{config.HashKey(key)},
 		})
 	}
+	w.addMix(w.plan.Mix)
 	doc.WeightStore.LoadsPerMinute = 60
 	w.d.ConfigFile = w.file("config.json", doc)
 }
