Keep decodes of short requests apart from longer prefills

Cause: engines run chunked prefill and decodes in one step. The spread of long prefills moved from engine to engine, so it met short requests that were decoding. Ruled out: waiting for the prefill as the main cause (the median time to first token was slowed by 1.03 to 1.07), and the rate shares (without them the time to first token of short requests rose to 8.8 s at p99). Change: PrefillSpread takes always the same engines of a pool, and there the rate shares are not applied a second time; the rule interference scores what a request suffers from longer prefills and inflicts on shorter requests. It rests while the engines kept free have no room for the short work or nothing longer runs. The reserved head no longer reserves memory on engines it may not use. Tried and reverted: limiting a group to the engines that take longer prefills, with their whole memory.

--- a/internal/alloccore/core.go
+++ b/internal/alloccore/core.go
@@ -64,6 +64,8 @@
 	closed  RefusalCode
 	// meanHold is the average span that grants are held.
 	meanHold core.Micros
+	// short is the recent prefill work of short requests.
+	short shortLoad
 
 	retry, retryAt, sweepAt core.Micros
 
@@ -153,6 +155,7 @@
 			c.byName[cfg.Name] = e
 		}
 		e.cfg, e.removed = cfg, false
+		e.spread = c.spread(ClassMedium, len(configs)) < len(configs)
 		list = append(list, e)
 	}
 	for _, e := range c.engines {
--- a/internal/alloccore/engine.go
+++ b/internal/alloccore/engine.go
@@ -44,6 +44,8 @@
 type engineState struct {
 	cfg     EngineConfig
 	removed bool
+	// spread is true if the pool keeps other engines free of longer prefills.
+	spread bool
 
 	report   *EngineReported
 	serves   map[string]bool
@@ -55,9 +57,11 @@
 	holdings  []*holding
 	committed int
 	byClass   [classes]int
-	suspects  int
-	adapters  map[string]int
-	trial     *grant
+	// running counts the holdings of each class.
+	running  [classes]int
+	suspects int
+	adapters map[string]int
+	trial    *grant
 	// foreign is memory that the last report shows and no grant of this allocator explains.
 	foreign  int
 	released []released
@@ -135,6 +139,7 @@
 	e.holdings = append(e.holdings, h)
 	e.committed += h.tokens
 	e.byClass[h.class] += h.tokens
+	e.running[h.class]++
 	if h.grant.mode != modeNormal {
 		e.suspects++
 	}
@@ -155,6 +160,7 @@
 	e.holdings = e.holdings[:last]
 	e.committed -= h.tokens
 	e.byClass[h.class] -= h.tokens
+	e.running[h.class]--
 	if h.grant.mode != modeNormal {
 		e.suspects--
 	}
--- a/internal/alloccore/estimate.go
+++ b/internal/alloccore/estimate.go
@@ -23,7 +23,7 @@
 	if f.parts == 0 {
 		return unknownWait
 	}
-	c.shape(x, engines, f)
+	engines = c.shape(x, engines, f)
 	ahead := c.queue.ahead(x)
 	wait := max(c.prefillWait(now, x, engines, ahead), c.memoryWait(x, engines, f, ahead))
 	if x.mode != modeNormal && !slices.ContainsFunc(engines, func(k candidate) bool { return k.engine.suspects == 0 }) {
@@ -59,7 +59,7 @@
 	first := core.Micros(-1)
 	for i := range engines {
 		e := engines[i].engine
-		rate += e.rate() * c.policy.Classes[x.class].Share
+		rate += e.rate() * e.rateShare(&c.policy, x.class)
 		left := max(0, e.debtTime(&c.policy, now, engines[i].class)-c.policy.PrefillHorizon)
 		if first < 0 || left < first {
 			first = left
--- a/internal/alloccore/filters.go
+++ b/internal/alloccore/filters.go
@@ -17,6 +17,8 @@
 	tokens int
 	// whole lets the part exceed the memory share of its class, for prompts too large for the shares of the whole pool.
 	whole bool
+	// shared is true if the engine takes prefills of classes longer than the shortest.
+	shared bool
 }
 
 // filter is one reason not to use an engine.
@@ -43,7 +45,6 @@
 	{"notCooling", notCooling},
 	{"memoryFits", memoryFits},
 	{"prefillShare", prefillShare},
-	{"prefillSpread", prefillSpread},
 }
 
 // rejectedBy returns the name of the first filter that the candidate does not pass, or "".
@@ -122,42 +123,3 @@
 	c.retryBy(now + left - c.policy.PrefillHorizon)
 	return false
 }
-
-// prefillSpread keeps engines free of long prefill work: a class and all longer ones prefill on at most their share of
-// the pool's engines at a time. The share of each engine's time alone would let them do so on all engines at once. Groups
-// are exempt, because they may need more engines than that.
-func prefillSpread(c *Core, now core.Micros, x *entry, k *candidate) bool {
-	if !c.policy.PrefillSpread || x.parts > 1 {
-		return true
-	}
-	for class := k.class; class > ClassShort; class-- {
-		if !c.spreadAllows(now, class, k.engine) {
-			return false
-		}
-	}
-	return true
-}
-
-// spreadAllows reports whether one more engine may prefill work of a class.
-func (c *Core) spreadAllows(now core.Micros, class Class, also *engineState) bool {
-	busy := 0
-	first := core.Micros(-1)
-	for _, e := range c.engines {
-		if e == also {
-			continue
-		}
-		e.advance(&c.policy, now)
-		if !e.work.prefills(class) {
-			continue
-		}
-		busy++
-		if left := spanOf(e.work.backlog(), e.rate()); first < 0 || left < first {
-			first = left
-		}
-	}
-	if busy < max(1, int(c.policy.Classes[class].Share*float64(len(c.engines)))) {
-		return true
-	}
-	c.retryBy(now + max(first, minRetry))
-	return false
-}
--- a/internal/alloccore/grants.go
+++ b/internal/alloccore/grants.go
@@ -72,6 +72,9 @@
 	g.holdings = append(g.holdings, h)
 	e.add(h)
 	e.charge(&c.policy, now, k.class, k.uncached)
+	if k.class == ClassShort {
+		c.short.add(now, k.uncached)
+	}
 	e.prefixes.record(x.req.PrefixHashes)
 	if g.mode == modeSolo {
 		e.trial = g
--- a/internal/alloccore/place.go
+++ b/internal/alloccore/place.go
@@ -40,7 +40,7 @@
 	if f.parts == 0 {
 		return nil, false
 	}
-	c.shape(x, engines, f)
+	engines = c.shape(x, engines, f)
 	free := make([]candidate, 0, len(engines))
 	for i := range engines {
 		rejected := c.rejectedBy(loadFilters, now, x, &engines[i])
@@ -103,19 +103,35 @@
 	return fit{}
 }
 
-// shape sets what each engine would hold. The parts of a group are computed anew, as one engine's cache does not help
-// the others.
-func (c *Core) shape(x *entry, engines []candidate, f fit) {
+// shape sets what each engine would hold and returns the engines that may take a part: a class prefills only on its
+// spread of the pool, and a group on more only if it needs more. The parts of a group are computed anew, as one engine's
+// cache does not help the others.
+func (c *Core) shape(x *entry, engines []candidate, f fit) []candidate {
+	out := make([]candidate, 0, len(engines))
 	for i := range engines {
-		k := &engines[i]
+		k := engines[i]
 		k.tokens, k.whole = f.tokens, f.whole
-		if f.parts == 1 {
-			continue
+		if f.parts > 1 {
+			k.cached = 0
+			k.uncached = (x.req.PromptTokens + f.parts - 1) / f.parts
+			k.class = c.policy.classOf(x.req.PromptTokens)
+		}
+		fromEnd := len(engines) - i
+		k.shared = fromEnd <= c.spread(ClassMedium, len(engines))
+		if fromEnd <= max(f.parts, c.spread(k.class, len(engines))) {
+			out = append(out, k)
 		}
-		k.cached = 0
-		k.uncached = (x.req.PromptTokens + f.parts - 1) / f.parts
-		k.class = c.policy.classOf(x.req.PromptTokens)
 	}
+	return out
+}
+
+// spread returns how many of n engines prefill a class. The last engines of the pool are taken, so that the sets of the
+// longer classes are parts of those of the shorter ones.
+func (c *Core) spread(class Class, n int) int {
+	if !c.policy.PrefillSpread || class == ClassShort {
+		return n
+	}
+	return max(1, int(c.policy.Classes[class].Share*float64(n)))
 }
 
 // holdable reports whether the pool's configured engines could hold the request if all of them were free.
@@ -163,7 +179,7 @@
 	replaced := c.reserved.head != nil
 	engines := c.serving(now, x)
 	f := c.fitOf(x, engines)
-	c.shape(x, engines, f)
+	engines = c.shape(x, engines, f)
 	parts := c.soonestFree(engines, f.parts)
 	class := ClassShort
 	for i := range parts {
--- a/internal/alloccore/policy.go
+++ b/internal/alloccore/policy.go
@@ -45,7 +45,7 @@
 	// PrefillShares bounds the prefill time of each class by its share and holds work back in the queue while an engine
 	// has PrefillHorizon of it left.
 	PrefillShares bool `json:"prefillShares"`
-	// PrefillSpread lets each class prefill only on its share of the pool's engines at a time.
+	// PrefillSpread lets each class prefill only on its share of the pool's engines, always the same ones.
 	PrefillSpread bool `json:"prefillSpread"`
 	// SharedPrefill takes engines to prefill their requests side by side; without it, one after another.
 	SharedPrefill bool `json:"sharedPrefill"`
@@ -59,6 +59,8 @@
 	AdapterLocality bool `json:"adapterLocality"`
 	// EngineQueue counts the prefill work that an engine has queued.
 	EngineQueue bool `json:"engineQueue"`
+	// Interference keeps decodes of a class apart from prefills of longer classes.
+	Interference bool `json:"interference"`
 	// Priorities orders the queue by priority.
 	Priorities bool `json:"priorities"`
 	// Aging raises a priority that waits by one every AgingStep.
@@ -93,7 +95,7 @@
 		Picker:         PickBestScore,
 		Classes:        [classes]ClassRule{{4_000, 1.0}, {100_000, 0.8}, {0, 0.5}},
 		OwnCommitments: true, MemoryShares: true, PrefillShares: true, PrefillSpread: true, SharedPrefill: true, Groups: true, HeadReservation: true,
-		PrefixAffinity: true, AdapterLocality: true, EngineQueue: true, Priorities: true, Aging: true,
+		PrefixAffinity: true, AdapterLocality: true, EngineQueue: true, Interference: true, Priorities: true, Aging: true,
 		FairQueuing: true, EarlyRefusal: true, SuspectsApart: true, SoloTrials: true, WarmUp: true, CoolDown: true,
 		AffinityCap: 32_000, PrefillHorizon: 250 * core.Millisecond, AgingStep: 3 * core.Second,
 	}
--- a/internal/alloccore/prefill.go
+++ b/internal/alloccore/prefill.go
@@ -1,8 +1,6 @@
 package alloccore
 
 import (
-	"slices"
-
 	"github.com/carobstile/carobstile/internal/core"
 )
 
@@ -14,9 +12,6 @@
 	rateBound = 4.0
 )
 
-// minRetry is the shortest span after which blocked work is tried again.
-const minRetry = 10 * core.Millisecond
-
 // prefillJob is the prefill work of one grant.
 type prefillJob struct {
 	class Class
@@ -57,9 +52,15 @@
 	return out
 }
 
-// prefills reports whether work of a class or a longer one is left.
-func (w *prefillWork) prefills(class Class) bool {
-	return slices.ContainsFunc(w.jobs, func(j prefillJob) bool { return j.class >= class })
+// longerThan returns the work left of the classes longer than one, in tokens.
+func (w *prefillWork) longerThan(class Class) float64 {
+	out := 0.0
+	for i := range w.jobs {
+		if w.jobs[i].class > class {
+			out += w.jobs[i].left
+		}
+	}
+	return out
 }
 
 // drain takes work off all jobs equally; what the jobs that end do not need goes to the others.
@@ -103,6 +104,15 @@
 	return float64(e.nominalRate())
 }
 
+// rateShare returns the share of the engine's prefill rate that a class may take. Where PrefillSpread keeps other engines
+// free for shorter classes, a class takes the full rate.
+func (e *engineState) rateShare(p *Policy, class Class) float64 {
+	if e.spread {
+		return 1
+	}
+	return p.Classes[class].Share
+}
+
 // advance lets the work done since the last call drain.
 func (e *engineState) advance(p *Policy, now core.Micros) {
 	w := &e.work
@@ -112,7 +122,7 @@
 	done := e.rate() * seconds(now-w.at)
 	w.drain(done)
 	for c := range w.debt {
-		w.debt[c] = max(0, w.debt[c]-done*p.Classes[c].Share)
+		w.debt[c] = max(0, w.debt[c]-done*e.rateShare(p, Class(c)))
 	}
 	w.at = now
 }
@@ -138,7 +148,7 @@
 // debtTime returns the span until a class has used up what it was given of its share.
 func (e *engineState) debtTime(p *Policy, now core.Micros, class Class) core.Micros {
 	e.advance(p, now)
-	return spanOf(e.work.debt[class], e.rate()*p.Classes[class].Share)
+	return spanOf(e.work.debt[class], e.rate()*e.rateShare(p, class))
 }
 
 // spanOf returns how long tokens take at a rate in tokens a second.
--- a/internal/alloccore/scorers.go
+++ b/internal/alloccore/scorers.go
@@ -21,6 +21,7 @@
 var scorers = []scorer{
 	{"prefillWork", always, prefillTime},
 	{"engineQueue", func(p *Policy) bool { return p.EngineQueue }, engineQueue},
+	{"interference", func(p *Policy) bool { return p.Interference }, interference},
 	{"prefixAffinity", func(p *Policy) bool { return p.PrefixAffinity }, prefixAffinity},
 	{"adapterLocality", func(p *Policy) bool { return p.AdapterLocality }, adapterLocality},
 	{"memoryUse", always, memoryUse},
