--- a/internal/devdeploy/devdeploy.go
+++ b/internal/devdeploy/devdeploy.go
@@ -20,6 +20,7 @@
 	"github.com/carobstile/carobstile/internal/fakeengine"
 	"github.com/carobstile/carobstile/internal/fakeplatform"
 	"github.com/carobstile/carobstile/internal/fakeservice"
+	"github.com/carobstile/carobstile/internal/load"
 	"github.com/carobstile/carobstile/internal/password"
 	"github.com/carobstile/carobstile/internal/peer"
 )
@@ -51,6 +52,8 @@
 	enginePort   = 10
 	hostPort     = 60
 	portsPerHost = 4
+	// defaultPrefillRate is the configured prefill rate of an engine in tokens a second.
+	defaultPrefillRate = 20_000
 )
 
 // Plan is the size of a deployment.
@@ -67,6 +70,12 @@
 	Engine fakeengine.Settings
 	// EmptyEngines start without a model; the controller places it.
 	EmptyEngines bool
+	// PrefillRate is the configured prefill rate of an engine in tokens a second; default 20,000.
+	PrefillRate int
+	// PolicyOff names allocator rules that are switched off for measurement.
+	PolicyOff []string
+	// Mix, if set, names the model, workspaces and routes to configure besides those of the deployment.
+	Mix *load.Mix
 	// LameDuckMs and StopGraceMs of the daemons.
 	LameDuckMs  int
 	StopGraceMs int
@@ -152,13 +161,13 @@
 			s.WeightStore = w.d.Platform
 			s.Models = []engine.LoadedModel{}
 			if !w.plan.EmptyEngines {
-				s.Models = append(s.Models, engine.LoadedModel{Name: Model, Version: "1"})
+				s.Models = append(s.Models, engine.LoadedModel{Name: w.model(), Version: "1"})
 			}
 			w.d.Engines[name] = s.Listen
 			w.process(name, "fakeengine", s)
 			w.d.Document.BackendServers = append(w.d.Document.BackendServers, config.BackendServer{
 				Name: name, Address: s.Listen, Kind: config.KindEngine, Region: Region, FailureDomain: w.domain(domain),
-				Pool: "pool-" + w.domain(domain), KVTokens: s.WithDefaults().KVTokens, PrefillTokensPerSecond: 20_000,
+				Pool: "pool-" + w.domain(domain), KVTokens: s.WithDefaults().KVTokens, PrefillTokensPerSecond: w.prefillRate(),
 				DecodeTokensPerSecond: 100, ChecksFence: true, TrustworthyRefusals: true,
 			})
 			n++
@@ -183,7 +192,7 @@
 			Name: h.Name, Region: Region, FailureDomain: h.FailureDomain, CallerAddress: h.Caller, AdminAddress: h.Admin,
 			PeerAddress: h.Peer, PlatformAddress: w.d.Platform, Seeds: w.seeds(), ClusterKeys: []string{clusterKey},
 			CursorKeys: []string{cursorKey}, Credentials: credentials,
-			LameDuckMs: w.plan.LameDuckMs, StopGraceMs: w.plan.StopGraceMs,
+			LameDuckMs: w.plan.LameDuckMs, StopGraceMs: w.plan.StopGraceMs, PolicyOff: w.plan.PolicyOff,
 			Profiling: w.plan.Profiling,
 		})
 		w.process(h.Name+"-controller", "carobcontroller", controller.Settings{
@@ -222,19 +231,20 @@
 	doc.BackendServers = append(doc.BackendServers, config.BackendServer{
 		Name: "service", Address: w.d.Service, Kind: config.KindService, Region: Region, FailureDomain: w.domain(0),
 	})
-	doc.Models = []config.Model{{Name: Model, Version: "1", MaxPromptTokens: w.longestPrompt(), MinReplicas: 1}}
+	doc.Models = []config.Model{{Name: w.model(), Version: "1", MaxPromptTokens: w.longestPrompt(), MinReplicas: 1}}
 	doc.Routes = []config.Route{
 		{Name: BellsRoute, BackendServers: []string{"service"}},
 		{Name: StatusRoute, BackendServers: []string{"service"}, Idempotent: true},
 	}
 	for name, key := range map[string]string{"trust": CallerKey, "norrvik": OtherKey} {
 		doc.Callers = append(doc.Callers, config.Caller{
-			Name: name, Priority: 5, Models: []string{Model}, Routes: []string{BellsRoute, StatusRoute},
+			Name: name, Priority: 5, Models: []string{w.model()}, Routes: []string{BellsRoute, StatusRoute},
 		})
 		doc.Workspaces = append(doc.Workspaces, config.Workspace{
 			Name: name + "-main", Caller: name, KeyHashes: []string{config.HashKey(key)},
 		})
 	}
+	w.addMix(w.plan.Mix)
 	doc.WeightStore.LoadsPerMinute = 60
 	w.d.ConfigFile = w.file("config.json", doc)
 }
