--- a/internal/e2e/controller_test.go
+++ b/internal/e2e/controller_test.go
@@ -58,9 +58,9 @@
 	return load
 }
 
-func (d *deployment) hasModel(name string) bool {
+func (d *deployment) hasModel(name, version string) bool {
 	for _, m := range d.engineLoad(name).Models {
-		if m.Name == devdeploy.Model {
+		if m.Name == devdeploy.Model && m.Version == version {
 			return true
 		}
 	}
@@ -96,7 +96,7 @@
 		doc.BackendServers[0].ChecksFence = false
 	})
 	d.fault(d.Engines[ignoring], fakeengine.Fault{Kind: fakeengine.FaultIgnoreFence})
-	bothPlaced := func() bool { return d.hasModel(ignoring) && d.hasModel(checking) }
+	bothPlaced := func() bool { return d.hasModel(ignoring, "1") && d.hasModel(checking, "1") }
 	require.Eventually(t, bothPlaced, placed, poll, "models are not placed")
 	old := d.activeController("")
 	require.NotEmpty(t, old)
@@ -109,18 +109,20 @@
 	require.Zero(t, d.weightLoadsRefused())
 }
 
-// requireOldOrdersLose sends orders with the old fence, as a controller that was paused in mid-order does.
+// requireOldOrdersLose sends orders with the old fence, as a controller that was paused in mid-order does. The wrong
+// order is a load, which the new holder corrects with an unload: it gives no order to load in its first minute, because
+// it does not know its predecessor's use of the weight store.
 func (d *deployment) requireOldOrdersLose(t *testing.T, ignoring, checking string, fence uint64) {
 	t.Helper()
-	unload := engine.Order{Fence: fence, Op: engine.OrderUnload, Model: devdeploy.Model, Version: "1"}
-	require.Equal(t, http.StatusAccepted, d.order(ignoring, unload))
-	require.False(t, d.hasModel(ignoring))
-	require.Eventually(t, func() bool { return d.hasModel(ignoring) }, reconciled, poll, "not corrected")
-	// The engine learns the new fence with the first order of the new holder; until then both fences are valid to it.
-	next := unload
-	next.Fence++
-	require.Equal(t, http.StatusAccepted, d.order(checking, next))
-	require.Equal(t, http.StatusConflict, d.order(checking, unload))
-	require.Eventually(t, func() bool { return d.hasModel(checking) }, reconciled, poll, "not corrected")
-	require.Greater(t, d.engineLoad(checking).Fence, fence)
+	wrong := engine.Order{Fence: fence, Op: engine.OrderLoad, Model: devdeploy.Model, Version: "0"}
+	require.Equal(t, http.StatusAccepted, d.order(ignoring, wrong))
+	require.Eventually(t, func() bool { return d.hasModel(ignoring, "0") }, 4*time.Second, poll)
+	// The engine learns the new fence with the first order of the new holder; this one changes nothing else.
+	known := engine.Order{Fence: fence + 1, Op: engine.OrderLoad, Model: devdeploy.Model, Version: "1"}
+	require.Equal(t, http.StatusAccepted, d.order(checking, known))
+	require.Equal(t, http.StatusConflict, d.order(checking, wrong))
+	require.False(t, d.hasModel(checking, "0"))
+	require.Eventually(t, func() bool { return !d.hasModel(ignoring, "0") }, reconciled, poll, "not corrected")
+	require.True(t, d.hasModel(ignoring, "1"))
+	require.True(t, d.hasModel(checking, "1"))
 }
