Read streams in a goroutine of their own stack

A waiting stream held 28 KB of stacks in five goroutines (scripts/measure-gate idle). The one that asked the engine had grown its stack for the request and kept it while it read.

Ran: go test -race ./internal/gate, ok.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -101,18 +101,27 @@
 		Priority: f.identity.caller.Priority, Helpers: a.helpers, Deadline: (f.deadline - g.now()).Duration(),
 		Reserve: a.reserve, Body: f.model.body,
 	})
-	if err == nil {
-		defer func() { _ = stream.Close() }() // the stream has ended either way
-		g.step(gatecore.StreamOpened{Now: g.now(), Request: f.handle, Attempt: e.Attempt})
-		err = g.readStream(f, a, stream)
+	if err != nil {
+		g.attemptEnded(f, a, e.Attempt, err)
+		return
 	}
+	g.step(gatecore.StreamOpened{Now: g.now(), Request: f.handle, Attempt: e.Attempt})
+	// Opening a stream takes a deep stack, which a goroutine keeps; a waiting stream needs less.
+	g.goWork(func() {
+		defer func() { _ = stream.Close() }() // the stream has ended either way
+		g.attemptEnded(f, a, e.Attempt, g.readStream(f, a, stream))
+	})
+}
+
+// attemptEnded tells the reducer that an attempt ended with an error, unless the reducer has ended it.
+func (g *Gate) attemptEnded(f *flight, a *attempt, number int, err error) {
 	if err == nil || a.ctx.Err() != nil {
 		return // finished, or the reducer has ended the attempt
 	}
 	cause := g.causeOf(a, err)
-	g.opts.Log.Info("attempt ended", evlog.KeyRequest, f.requestID, evlog.KeyAttempt, e.Attempt, "engine", a.engine,
+	g.opts.Log.Info("attempt ended", evlog.KeyRequest, f.requestID, evlog.KeyAttempt, number, "engine", a.engine,
 		"cause", cause, "err", err)
-	g.step(gatecore.StreamEnded{Now: g.now(), Request: f.handle, Attempt: e.Attempt, Cause: cause})
+	g.step(gatecore.StreamEnded{Now: g.now(), Request: f.handle, Attempt: number, Cause: cause})
 }
 
 // readStream reads events until the finish (nil) or an error.
