Let the test harness tell its own processes from others on the same ports

Cause: one of eight repeats of TestPromptOverSeveralEngines was answered by another run's gate (its bound of prompt tokens showed that). The harness took a connection to an address for proof that its process had opened it; a slow start on a busy machine left time for that mistake.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -67,6 +66,8 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	log  string
+	// logStart is the size of the log before the process started.
+	logStart int64
 }
 
 // start writes and starts a deployment, applies its configuration and waits until every daemon is ready.
@@ -118,31 +119,35 @@
 	return &deployment{Deployment: written, t: t, processes: map[string]*process{}}
 }
 
-// startAll starts all processes and reports whether they serve. A process that ends at once did not get its port.
+// startAll starts all processes and reports whether they hold their addresses. A process that ends at once did not get
+// its port.
 func (d *deployment) startAll() bool {
-	addresses := []string{d.Platform, d.Service, d.Console}
-	for _, address := range d.Engines {
-		addresses = append(addresses, address)
-	}
-	for _, h := range d.Hosts {
-		addresses = append(addresses, h.Caller, h.Admin, h.Peer, h.ControllerAdmin)
-	}
 	for _, p := range d.Processes {
 		d.run(p)
 	}
-	for _, address := range addresses {
-		if !d.serves(address) {
+	for _, p := range d.Processes {
+		if !d.process(p.Name).started() {
 			return false
 		}
 	}
 	return !d.anyEnded()
 }
 
-func (d *deployment) serves(address string) bool {
-	for limit := time.Now().Add(startTimeout); time.Now().Before(limit) && !d.anyEnded(); time.Sleep(poll) {
-		if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
-			_ = conn.Close()
-			return true
+// startedLines are logged by a process that has opened its addresses. A connection alone does not prove that: another
+// process may hold the address.
+var startedLines = []string{`msg="process started"`, "msg=listening"}
+
+// started waits until a process has opened its addresses or has ended.
+func (p *process) started() bool {
+	for limit := time.Now().Add(startTimeout); time.Now().Before(limit) && !p.ended(); time.Sleep(poll) {
+		data, err := os.ReadFile(p.log)
+		if err != nil || int64(len(data)) < p.logStart {
+			continue
+		}
+		for _, line := range startedLines {
+			if strings.Contains(string(data[p.logStart:]), line) {
+				return true
+			}
 		}
 	}
 	return false
@@ -173,12 +178,16 @@
 		d.t.Errorf("log of %s: %v", p.Name, err)
 		return
 	}
+	size, err := out.Seek(0, io.SeekEnd)
+	if err != nil {
+		d.t.Errorf("log of %s: %v", p.Name, err)
+	}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		d.t.Errorf("start of %s: %v", p.Name, err)
 		return
 	}
-	started := &process{plan: p, cmd: cmd, done: make(chan struct{}), log: path}
+	started := &process{plan: p, cmd: cmd, done: make(chan struct{}), log: path, logStart: size}
 	go func() {
 		_ = cmd.Wait() // the exit of a killed process is expected
 		_ = out.Close()
@@ -251,7 +260,16 @@
 	}
 }
 
-func (d *deployment) restart(name string) { d.run(d.process(name).plan) }
+// restart starts an ended process again. Another test run may try its port for an instant, so it is tried again.
+func (d *deployment) restart(name string) {
+	for range startTries {
+		d.run(d.process(name).plan)
+		if d.stopping() || d.process(name).started() {
+			return
+		}
+	}
+	d.t.Errorf("%s does not start again", name)
+}
 
 func (d *deployment) stopAll() {
 	d.mu.Lock()
--- a/internal/e2e/strangers_test.go
+++ b/internal/e2e/strangers_test.go
@@ -96,7 +96,7 @@
 	plan.Name, plan.Settings = "stranger", d.Dir+"/stranger.json"
 	require.NoError(t, os.WriteFile(plan.Settings, data, 0o600))
 	d.run(plan)
-	require.Eventually(t, func() bool { return d.serves(s.AdminAddress) }, startTimeout, poll)
+	require.True(t, d.process(plan.Name).started())
 	time.Sleep(5 * time.Second) // several probes of every seed
 	for _, h := range d.Hosts {
 		status := d.status(h)
