Show the state of daemons that did not answer as unknown

Cause: carobctl status and the status page showed a daemon that was not asked or did not answer as "not ready" at generation 0, which reads as a fault of the daemon. The console's help for two rates still began with their Go names.

Ruled out: leaving such daemons out, since an operator looks for them.

Before: READY no, GENERATION 0.

Conclusion: TestApplyNamesTheDaemonThatIsBehind checks the state with a paused daemon.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -102,9 +102,10 @@
 	// MaxModels is the number of models whose weights fit in an engine's memory at once; default 2, so that a new
 	// version can be loaded beside the old one.
 	MaxModels int `json:"maxModels,omitempty"`
-	// PrefillTokensPerSecond and DecodeTokensPerSecond (per stream) are an engine's nominal rates.
+	// PrefillTokensPerSecond is the nominal rate at which an engine reads prompts.
 	PrefillTokensPerSecond int `json:"prefillTokensPerSecond,omitempty"`
-	DecodeTokensPerSecond  int `json:"decodeTokensPerSecond,omitempty"`
+	// DecodeTokensPerSecond is the nominal rate of one stream of an engine.
+	DecodeTokensPerSecond int `json:"decodeTokensPerSecond,omitempty"`
 	// ChecksFence is true when the engine refuses orders with an old fencing number.
 	ChecksFence bool `json:"checksFence,omitempty"`
 	// TrustworthyRefusals is true when a refusal of this backend server proves that nothing was run.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -115,9 +115,11 @@
 	w := s.cli.env.Stdout
 	var rows [][]string
 	for _, d := range out.Daemons {
-		rows = append(rows, []string{
-			d.Name, d.FailureDomain, d.State, yesNo(d.Ready), fmt.Sprint(d.Generation), fmt.Sprint(d.OpenStreams), d.Problem,
-		})
+		row := []string{d.Name, d.FailureDomain, d.State, "unknown", "unknown", "unknown", d.Problem}
+		if d.Problem == "" {
+			row[3], row[4], row[5] = yesNo(d.Ready), fmt.Sprint(d.Generation), fmt.Sprint(d.OpenStreams)
+		}
+		rows = append(rows, row)
 	}
 	header := []string{"NAME", "FAILURE DOMAIN", "STATE", "READY", "GENERATION", "STREAMS", "PROBLEM"}
 	if err := printTable(w, "Daemons", header, rows); err != nil {
--- a/internal/e2e/operator_test.go
+++ b/internal/e2e/operator_test.go
@@ -99,6 +99,7 @@
 	file = d.edited("newer.json", weight(0, 3))
 	behind := d.carobctl(d.Platform, "ada", "apply", "--wait", "2s", file)
 	want(t, behind, ctl.ExitBehind, "generation 3 is accepted", "not yet in force at 1 of 3 daemons", paused.Name)
+	want(t, d.carobctl(d.Platform, "ada", "status"), ctl.ExitOK, "unknown")
 	d.signal(paused.Name, syscall.SIGCONT)
 	want(t, d.carobctl(d.Platform, "ada", "apply", file), ctl.ExitOK, "generation 3 already has this content",
 		"generation 3 is in force at all 3 daemons")
