Give the heap of a daemon headroom

Under 300 requests/s a gate with a live heap of 1 to 2 MB collected garbage at every 4 MB; the profile had a tenth of its CPU in the collector.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,14 +52,20 @@
 	udp       *peer.UDP
 	traffic   peer.Traffic
 	stopping  atomic.Bool
+	// headroom is never touched, so it takes no memory, but the garbage collector counts it as live and starts at
+	// twice its size instead of at 4 MB. A small gate under load collected many times a second.
+	headroom []byte
 
 	// assignMu serialises changes of the assignment.
 	assignMu sync.Mutex
 }
 
+// headroomBytes makes room for about 32 MB of heap in the 128 MB that a daemon may take for control.
+const headroomBytes = 16 << 20
+
 // New builds a daemon. Nothing runs and no address is open but the UDP socket of membership.
 func New(s *Settings, log *slog.Logger, clock *evlog.Clock) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, clock: clock, store: platform.NewClient(s.PlatformAddress)}
+	d := &Daemon{headroom: make([]byte, headroomBytes), settings: s, log: log, clock: clock, store: platform.NewClient(s.PlatformAddress)}
 	d.metrics = newMetrics()
 	peers, err := peer.NewPool(s.Credentials, 0, clock)
 	if err != nil {
