--- a/internal/alloccore/place.go
+++ b/internal/alloccore/place.go
@@ -65,18 +65,12 @@
 		return single
 	}
 	class := c.policy.classOf(x.req.PromptTokens)
-	most := c.spread(ClassMedium, len(engines))
-	f := c.fitGroup(x.need, engines, c.policy.memoryShare(class))
-	if f.parts > 0 && f.parts <= most {
+	if f := c.fitGroup(x.need, engines, c.policy.memoryShare(class)); f.parts > 0 {
 		return f
 	}
-	least := c.fitGroup(x.need, engines, 1)
-	least.whole = true
-	if least.parts > 0 && least.parts < most {
-		// More engines than the prompt needs leave memory to others, and the wait for free memory is shorter.
-		least.parts, least.tokens = most, (x.need+most-1)/most
-	}
-	return least
+	f := c.fitGroup(x.need, engines, 1)
+	f.whole = true
+	return f
 }
 
 func (c *Core) fitOne(x *entry, engines []candidate) fit {
