Leave members out of the status that controllers ask allocators for

Ruled out: asking less often, since reports are at most 15 s old already.

Before: members in every answer.

--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -126,7 +126,7 @@
 	}
 	for _, address := range c.allocators() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		status, err := c.o.Daemons.Status(ctx, address, &pb.StatusRequest{})
+		status, err := c.o.Daemons.Status(ctx, address, &pb.StatusRequest{OmitMembers: true})
 		cancel()
 		if err != nil {
 			c.o.Log.Warn("allocator did not answer", "address", address, "err", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -202,13 +202,15 @@
 }
 
 // Status implements peer.StatusSource.
-func (d *Daemon) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
+func (d *Daemon) Status(_ context.Context, req *pb.StatusRequest) (*pb.StatusResponse, error) {
 	out := &pb.StatusResponse{
 		Self: toProto(d.members.Self()), Pools: d.allocator.Status(), OpenStreams: uint32(d.gate.OpenStreams()),
 		Ready: d.Ready(),
 	}
-	for _, m := range d.members.Members() {
-		out.Members = append(out.Members, toProto(m))
+	if !req.GetOmitMembers() {
+		for _, m := range d.members.Members() {
+			out.Members = append(out.Members, toProto(m))
+		}
 	}
 	if index := d.conf.Current(); index != nil {
 		out.Generation = index.Generation
