--- a/internal/alloccore/place.go
+++ b/internal/alloccore/place.go
@@ -55,9 +55,8 @@
 	return nil, short || f.parts > 1
 }
 
-// fitOf returns on how many engines the request fits, and what it takes of each. A prompt for several engines takes at
-// most those that long prefills may use, so that the others stay free for short work; only what they do not hold goes
-// further. Within that bound it uses the engines' whole memory where the share of its class is not enough.
+// fitOf returns the fewest engines whose memory shares hold the request. A prompt that all shares together do not hold
+// may use the whole memory of the engines.
 func (c *Core) fitOf(x *entry, engines []candidate) fit {
 	if len(engines) == 0 {
 		return fit{}
@@ -66,18 +65,12 @@
 		return single
 	}
 	class := c.policy.classOf(x.req.PromptTokens)
-	most := c.spread(ClassMedium, len(engines))
-	shared := c.fitGroup(x.need, engines, c.policy.memoryShare(class))
-	if shared.parts > 0 && shared.parts <= most {
-		return shared
-	}
-	least := c.fitGroup(x.need, engines, 1)
-	least.whole = true
-	if least.parts > 0 && least.parts < most {
-		// Smaller parts on more engines leave memory to others, and the wait for free memory is shorter.
-		least.parts, least.tokens = most, (x.need+most-1)/most
-	}
-	return least
+	if f := c.fitGroup(x.need, engines, c.policy.memoryShare(class)); f.parts > 0 {
+		return f
+	}
+	f := c.fitGroup(x.need, engines, 1)
+	f.whole = true
+	return f
 }
 
 func (c *Core) fitOne(x *entry, engines []candidate) fit {
