Share the loop of periodic work and the conditional deletion of listed objects

Cause: the two collectors, the controller and the daemon's parts repeated the same ticker loop, and both collectors the same deletion that passes over changed objects. Renewals of reservations name their time limit.

After: shell.Every and platform.DeleteListed; tests of claim, confstore, controller and daemon pass.

--- a/internal/claim/collect.go
+++ b/internal/claim/collect.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/shell"
 )
 
 // Figures of the collection of expired claims.
@@ -43,22 +44,15 @@
 }
 
 // Run collects until ctx ends.
-func (c *Collector) Run(ctx context.Context) {
-	ticker := time.NewTicker(collectInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		deleted, err := c.Round(ctx)
-		if err != nil {
-			c.log.Debug("expired claims not collected", "error", err)
-		}
-		if deleted > 0 {
-			c.log.Info("expired claims deleted", "count", deleted)
-		}
+func (c *Collector) Run(ctx context.Context) { shell.Every(ctx, collectInterval, c.collect) }
+
+func (c *Collector) collect(ctx context.Context) {
+	deleted, err := c.Round(ctx)
+	if err != nil {
+		c.log.Debug("expired claims not collected", "error", err)
+	}
+	if deleted > 0 {
+		c.log.Info("expired claims deleted", "count", deleted)
 	}
 }
 
@@ -78,11 +72,11 @@
 			continue
 		}
 		tried++
-		err := c.objects.DeleteIf(ctx, platform.KindClaim, object.Name, object.Version)
-		if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
-			return deleted, errors.Wrap(err, "delete a claim")
+		done, err := platform.DeleteListed(ctx, c.objects, platform.KindClaim, object.Name, object.Version)
+		if err != nil {
+			return deleted, err
 		}
-		if err == nil {
+		if done {
 			deleted++
 		}
 	}
--- a/internal/confstore/collect.go
+++ b/internal/confstore/collect.go
@@ -10,6 +10,7 @@
 
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/shell"
 	"github.com/cockroachdb/errors"
 )
 
@@ -58,22 +59,15 @@
 }
 
 // Run collects until ctx ends.
-func (c *Collector) Run(ctx context.Context) {
-	ticker := time.NewTicker(collectInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		deleted, err := c.Round(ctx)
-		if err != nil {
-			c.log.Debug("unused chunks not collected", "error", err)
-		}
-		if deleted > 0 {
-			c.log.Info("unused chunks deleted", "count", deleted)
-		}
+func (c *Collector) Run(ctx context.Context) { shell.Every(ctx, collectInterval, c.collect) }
+
+func (c *Collector) collect(ctx context.Context) {
+	deleted, err := c.Round(ctx)
+	if err != nil {
+		c.log.Debug("unused chunks not collected", "error", err)
+	}
+	if deleted > 0 {
+		c.log.Info("unused chunks deleted", "count", deleted)
 	}
 }
 
@@ -142,11 +136,11 @@
 func (c *Collector) delete(ctx context.Context, due []chunkVersion) (int, error) {
 	deleted := 0
 	for _, chunk := range due {
-		err := c.objects.DeleteIf(ctx, platform.KindConfigChunk, chunk.hash, chunk.version)
-		if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
-			return deleted, errors.Wrap(err, "delete a chunk")
+		done, err := platform.DeleteListed(ctx, c.objects, platform.KindConfigChunk, chunk.hash, chunk.version)
+		if err != nil {
+			return deleted, err
 		}
-		if err == nil {
+		if done {
 			deleted++
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,17 +97,8 @@
 
 // Run drives the controller until ctx ends, then gives the lease back.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			c.round(ctx)
-		case <-ctx.Done():
-			c.giveBack()
-			return
-		}
-	}
+	shell.Every(ctx, tickInterval, c.round)
+	c.giveBack()
 }
 
 func (c *Controller) round(ctx context.Context) {
--- a/internal/daemon/leaving.go
+++ b/internal/daemon/leaving.go
@@ -7,6 +7,7 @@
 
 	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/shell"
 )
 
 // leavingInterval is the pause between reads of the leaving hosts: 72 reads/s over 360 daemons.
@@ -25,16 +26,8 @@
 }
 
 func (l *leavingHosts) run(ctx context.Context) {
-	ticker := time.NewTicker(leavingInterval)
-	defer ticker.Stop()
-	for {
-		l.read(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	l.read(ctx)
+	shell.Every(ctx, leavingInterval, l.read)
 }
 
 func (l *leavingHosts) read(ctx context.Context) {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/carobstile/carobstile/internal/shell"
 )
 
 // metricsInterval is how often tally hands its values to the Prometheus reporter.
@@ -45,17 +47,10 @@
 func (d *Daemon) reportTraffic(ctx context.Context) {
 	scope := d.metrics.scope.SubScope("control")
 	peers, packets, refused := scope.Gauge(metricPeerBytes), scope.Gauge(metricPacketBytes), scope.Gauge(metricRefused)
-	ticker := time.NewTicker(metricsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	shell.Every(ctx, metricsInterval, func(context.Context) {
 		counters := d.udp.Counters()
 		peers.Update(float64(d.traffic.Sent() + d.traffic.Received()))
 		packets.Update(float64(counters.SentBytes + counters.ReceivedBytes))
 		refused.Update(float64(counters.RefusedPackets))
-	}
+	})
 }
--- a/internal/daemon/reservations.go
+++ b/internal/daemon/reservations.go
@@ -9,6 +9,7 @@
 
 	"github.com/carobstile/carobstile/internal/engine"
 	"github.com/carobstile/carobstile/internal/gate"
+	"github.com/carobstile/carobstile/internal/shell"
 )
 
 // Times of reservations on helping engines. Two renewals in a row may be lost before one expires.
@@ -182,19 +183,19 @@
 }
 
 func (r *reservations) renew(ctx context.Context, group *groupReservation) {
-	ticker := time.NewTicker(reservationRenew)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	shell.Every(ctx, reservationRenew, func(ctx context.Context) {
 		for _, h := range group.helpers {
-			if err := r.client.Reserve(ctx, h.Address, group.reservation(h)); err != nil && ctx.Err() == nil {
-				r.log.Warn("reservation not renewed", "reservation", group.id, "address", h.Address, "err", err)
-			}
+			r.renewAt(ctx, group, h)
 		}
+	})
+}
+
+// renewAt renews one reservation within reservationCall, so that a silent helper does not keep the others from renewal.
+func (r *reservations) renewAt(ctx context.Context, group *groupReservation, h gate.Helper) {
+	call, cancel := context.WithTimeout(ctx, reservationCall)
+	defer cancel()
+	if err := r.client.Reserve(call, h.Address, group.reservation(h)); err != nil && ctx.Err() == nil {
+		r.log.Warn("reservation not renewed", "reservation", group.id, "address", h.Address, "err", err)
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -88,3 +88,13 @@
 	// read often, the whole list, over 100 KB at 1,560 hosts, seldom.
 	Hosts(ctx context.Context, state HostState) ([]Host, error)
 }
+
+// DeleteListed deletes an object that was listed at a version, unless it has changed since. It reports whether the object
+// was deleted by this call.
+func DeleteListed(ctx context.Context, store Store, kind, name string, version uint64) (bool, error) {
+	err := store.DeleteIf(ctx, kind, name, version)
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, errors.Wrapf(err, "delete %s/%s", kind, name)
+}
