--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -229,7 +229,7 @@
 	delete(p.polling, name)
 	p.stateMu.Unlock()
 	if err != nil {
-		p.a.opts.Log.Debug("load poll failed", "pool", p.name, "engine", name, "error", err.Error())
+		p.a.opts.Log.Debug("load poll failed", "pool", p.name, "engine", name, "err", err.Error())
 		refused := errors.Is(err, syscall.ECONNREFUSED)
 		p.step(func(now core.Micros) alloccore.Event {
 			return alloccore.EngineUnreachable{Now: now, Engine: name, Refused: refused}
--- a/internal/claim/collect.go
+++ b/internal/claim/collect.go
@@ -49,7 +49,7 @@
 func (c *Collector) collect(ctx context.Context) {
 	deleted, err := c.Round(ctx)
 	if err != nil {
-		c.log.Debug("expired claims not collected", "error", err)
+		c.log.Debug("expired claims not collected", "err", err)
 	}
 	if deleted > 0 {
 		c.log.Info("expired claims deleted", "count", deleted)
--- a/internal/confstore/collect.go
+++ b/internal/confstore/collect.go
@@ -64,7 +64,7 @@
 func (c *Collector) collect(ctx context.Context) {
 	deleted, err := c.Round(ctx)
 	if err != nil {
-		c.log.Debug("unused chunks not collected", "error", err)
+		c.log.Debug("unused chunks not collected", "err", err)
 	}
 	if deleted > 0 {
 		c.log.Info("unused chunks deleted", "count", deleted)
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -229,7 +229,7 @@
 	start := time.Now()
 	index, err := s.cache.build(generation)
 	if err != nil {
-		s.options.Log.Error("configuration not adopted", "generation", generation, "error", err)
+		s.options.Log.Error("configuration not adopted", "generation", generation, "err", err)
 		s.step(func() confcore.Event { return confcore.AdoptFailed{Now: s.clock.Now(), Generation: generation} })
 		return
 	}
--- a/internal/confsync/fetch.go
+++ b/internal/confsync/fetch.go
@@ -38,7 +38,7 @@
 			revision = next
 			continue
 		}
-		s.options.Log.Debug("watch of the configuration failed", "error", err)
+		s.options.Log.Debug("watch of the configuration failed", "err", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchRetry + rand.N(watchRetry)):
@@ -64,7 +64,7 @@
 func (s *Sync) watched(raw []byte) {
 	root, err := s.keepRoot(raw)
 	if err != nil {
-		s.options.Log.Error("configuration root refused", "error", err)
+		s.options.Log.Error("configuration root refused", "err", err)
 		return
 	}
 	s.step(func() confcore.Event { return confcore.RootWatched{Now: s.clock.Now(), Root: root} })
@@ -85,7 +85,7 @@
 	defer cancel()
 	object, err := s.options.Store.Get(ctx, platform.KindConfig, config.RootName)
 	if err != nil {
-		s.options.Log.Debug("configuration root not read", "error", err)
+		s.options.Log.Debug("configuration root not read", "err", err)
 		return
 	}
 	s.watched(object.Value)
@@ -104,7 +104,7 @@
 		return
 	}
 	if err != nil {
-		s.options.Log.Debug("configuration root not read", "source", sourceName(e.Source), "error", err)
+		s.options.Log.Debug("configuration root not read", "source", sourceName(e.Source), "err", err)
 		s.step(func() confcore.Event { return confcore.RootFailed{Now: s.clock.Now(), Attempt: e.Attempt} })
 		return
 	}
@@ -156,7 +156,7 @@
 	for len(missing) > 0 {
 		chunks, err := s.fetchBatch(ctx, source, missing[:min(len(missing), maxChunkHashes)])
 		if err != nil {
-			s.options.Log.Debug("chunks not read", "source", source, "error", err)
+			s.options.Log.Debug("chunks not read", "source", source, "err", err)
 			return got
 		}
 		rest := s.keepChunks(missing, chunks)
@@ -250,7 +250,7 @@
 	defer cancel()
 	object, err := s.options.Store.Get(ctx, platform.KindConfigChunk, hash)
 	if err != nil {
-		s.options.Log.Debug("chunk not read from the platform", "chunk", hash, "error", err)
+		s.options.Log.Debug("chunk not read from the platform", "chunk", hash, "err", err)
 		return false
 	}
 	return len(s.keepChunks([]string{hash}, [][]byte{object.Value})) == 0
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -26,8 +26,8 @@
 	MadeMicros core.Micros `json:"madeMicros"`
 }
 
-// crashBook keeps the crash records of this daemon, disseminates its own and stores verdicts.
-type crashBook struct {
+// crashRecorder keeps the crash records of this daemon, disseminates its own and stores verdicts.
+type crashRecorder struct {
 	set     *crashes.Set
 	members *member.Members
 	store   platform.Store
@@ -38,7 +38,7 @@
 func now() core.Micros { return core.At(time.Now()) }
 
 // Count implements gate.Crashes.
-func (b *crashBook) Count(f gate.Fingerprint) int {
+func (b *crashRecorder) Count(f gate.Fingerprint) int {
 	at, fingerprint := now(), crashes.Fingerprint(f[:])
 	count := b.set.Count(at, fingerprint)
 	if b.set.Refused(at, fingerprint) {
@@ -47,7 +47,7 @@
 	return count
 }
 
-func (b *crashBook) limit() int {
+func (b *crashRecorder) limit() int {
 	if index := b.current(); index != nil {
 		return index.Limits.CrashLimit
 	}
@@ -55,7 +55,7 @@
 }
 
 // Report implements gate.Crashes.
-func (b *crashBook) Report(f gate.Fingerprint, engine, incarnation string) {
+func (b *crashRecorder) Report(f gate.Fingerprint, engine, incarnation string) {
 	record := crashes.Record{Fingerprint: crashes.Fingerprint(f[:]), Incarnation: incarnation, Made: now()}
 	change := b.set.Add(record.Made, record)
 	for _, r := range change.New {
@@ -70,14 +70,14 @@
 }
 
 // learned takes in records of other daemons.
-func (b *crashBook) learned(records []membercore.Record) {
+func (b *crashRecorder) learned(records []membercore.Record) {
 	for _, r := range records {
 		b.set.Add(now(), crashes.Record{Fingerprint: crashes.Fingerprint(r.Fingerprint), Incarnation: r.Engine, Made: r.Made})
 	}
 }
 
 // storeVerdict writes a verdict, so that daemons that start later know it. Writing it twice does no harm.
-func (b *crashBook) storeVerdict(f crashes.Fingerprint, made core.Micros) {
+func (b *crashRecorder) storeVerdict(f crashes.Fingerprint, made core.Micros) {
 	value, err := json.Marshal(verdict{MadeMicros: made})
 	if err != nil {
 		return
@@ -91,7 +91,7 @@
 }
 
 // load reads the stored verdicts once.
-func (b *crashBook) load(ctx context.Context) {
+func (b *crashRecorder) load(ctx context.Context) {
 	b.retry(ctx, "list verdicts", func() error {
 		objects, err := b.store.List(ctx, platform.KindVerdict, "")
 		for _, object := range objects {
@@ -101,7 +101,7 @@
 	})
 }
 
-func (b *crashBook) addStored(object platform.Object) {
+func (b *crashRecorder) addStored(object platform.Object) {
 	fingerprint, err := hex.DecodeString(object.Name)
 	if err != nil {
 		return
@@ -114,7 +114,7 @@
 	b.set.AddVerdict(crashes.Fingerprint(fingerprint), v.MadeMicros)
 }
 
-func (b *crashBook) retry(ctx context.Context, what string, f func() error) {
+func (b *crashRecorder) retry(ctx context.Context, what string, f func() error) {
 	for {
 		err := f()
 		if err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,7 @@
 	grants    *grants.Grants
 	router    *router
 	claims    *gateClaims
-	crashes   *crashBook
+	crashes   *crashRecorder
 	leaving   *leavingHosts
 	gate      *gate.Gate
 	metrics   *metrics
@@ -149,7 +149,7 @@
 		Store: d.store, Gate: d.settings.Name, NewID: uuid.NewString, Now: time.Now, Log: d.log,
 	}), d.log)
 	limit := config.Limits{}.WithDefaults().CrashLimit
-	d.crashes = &crashBook{
+	d.crashes = &crashRecorder{
 		set: crashes.NewSet(limit), members: d.members, store: d.store, current: d.conf.Current, log: d.log,
 	}
 	client := engine.NewHTTP(0)
--- a/internal/fakeengine/group.go
+++ b/internal/fakeengine/group.go
@@ -155,7 +155,7 @@
 	defer cancel()
 	for _, address := range g.helpers {
 		if err := e.client.LeaveGroup(ctx, address, g.reservation); err != nil {
-			e.log.Warn("helper keeps its reservation until it expires", "helper", address, "error", err.Error())
+			e.log.Warn("helper keeps its reservation until it expires", "helper", address, "err", err.Error())
 		}
 	}
 }
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -125,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if _, err := g.opts.Peer.Release(ctx, req.GetPool(), req); err != nil {
-		g.opts.Log.Debug("release failed, the grant will expire", "pool", req.GetPool(), "error", err.Error())
+		g.opts.Log.Debug("release failed, the grant will expire", "pool", req.GetPool(), "err", err.Error())
 	}
 }
 
--- a/internal/grants/renew.go
+++ b/internal/grants/renew.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	response, err := g.opts.Peer.Renew(ctx, pool, g.renewal(pool, batch))
 	if err != nil {
-		g.opts.Log.Debug("renewal failed", "pool", pool, "grants", len(batch), "error", err.Error())
+		g.opts.Log.Debug("renewal failed", "pool", pool, "grants", len(batch), "err", err.Error())
 		return
 	}
 	g.renewed(batch, response.GetLostGrantIds())
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -301,7 +301,7 @@
 
 func (m *Members) send(e membercore.SendPacket) {
 	if err := m.options.Transport.Send(e.To, packetToProto(e.Packet)); err != nil {
-		m.options.Log.Debug("packet not sent", "to", e.To, "error", err)
+		m.options.Log.Debug("packet not sent", "to", e.To, "err", err)
 	}
 }
 
@@ -320,7 +320,7 @@
 			Generation: e.Table.Generation,
 		})
 		if err != nil {
-			m.options.Log.Debug("full exchange failed", "peer", e.To, "error", err)
+			m.options.Log.Debug("full exchange failed", "peer", e.To, "err", err)
 			return
 		}
 		m.step(membercore.SyncAnswered{Now: m.clock.Now(), Table: membercore.Table{
@@ -353,7 +353,7 @@
 	defer cancel()
 	hosts, err := m.options.Hosts(ctx)
 	if err != nil {
-		m.options.Log.Debug("host list not read", "error", err)
+		m.options.Log.Debug("host list not read", "err", err)
 		return
 	}
 	seeds := append([]string(nil), m.options.Seeds...)
