--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -53,18 +53,3 @@
 	require.False(t, s.Refused(now+Life, "g"))
 	require.Empty(t, s.Add(now, Record{"h", "i", now + Life}).New, "a clock far ahead")
 }
-
-// Guards against records that are never sent, or sent for ever.
-func TestToSendEndsAfterItsTransmissions(t *testing.T) {
-	s := NewSet(3)
-	now := core.Hour
-	s.Add(now, Record{"a", "i", now}, Record{"b", "i", now})
-	sent := map[Fingerprint]int{}
-	for range 3 * transmissions {
-		for _, r := range s.ToSend(now, 1) {
-			sent[r.Fingerprint]++
-		}
-	}
-	require.Equal(t, map[Fingerprint]int{"a": transmissions, "b": transmissions}, sent)
-	require.Equal(t, s.Records(now), FromMessages(ToMessages(s.Records(now))))
-}
--- a/internal/crashes/set.go
+++ b/internal/crashes/set.go
@@ -1,32 +1,25 @@
 package crashes
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 
 	"github.com/carobstile/carobstile/internal/core"
 )
 
-// transmissions is how often a new record is sent along with membership packets. Each packet goes to one member; with
-// 360 daemons, 3*log2(360) sends reach nearly all, and the full exchange of tables reaches the rest.
-const transmissions = 26
-
 // Set is the records and verdicts known to one daemon. It is safe for concurrent use.
 type Set struct {
 	limit int
 
 	mu      sync.Mutex
 	records []Record
-	// sends counts the transmissions left of each record.
-	sends map[recordKey]int
 	// verdicts holds when the verdict of a fingerprint was made.
 	verdicts map[Fingerprint]core.Micros
 }
 
 // NewSet returns an empty set with a crash limit.
 func NewSet(limit int) *Set {
-	return &Set{limit: limit, sends: map[recordKey]int{}, verdicts: map[Fingerprint]core.Micros{}}
+	return &Set{limit: limit, verdicts: map[Fingerprint]core.Micros{}}
 }
 
 // SetLimit changes the crash limit.
@@ -44,8 +37,8 @@
 	Reached []Fingerprint
 }
 
-// Add merges records into the set and schedules new ones for dissemination. Expired records are ignored, and so are
-// records from further ahead than clocks may differ.
+// Add merges records into the set and says which were new; membership disseminates them. Expired records are ignored,
+// and so are records from further ahead than clocks may differ.
 func (s *Set) Add(now core.Micros, records ...Record) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,37 +62,25 @@
 	return out
 }
 
-// change compares the set with what was known before, and forgets the transmissions of records that were pushed out.
+// change compares the set with what was known before.
 func (s *Set) change(known map[recordKey]bool, before map[Fingerprint]int) Change {
 	var out Change
-	sends := make(map[recordKey]int, len(s.sends))
 	for _, r := range s.records {
-		if left, ok := s.sends[r.key()]; ok {
-			sends[r.key()] = left
-		}
 		if known[r.key()] {
 			continue
 		}
-		sends[r.key()] = transmissions
 		out.New = append(out.New, r)
 		reached := before[r.Fingerprint] < s.limit && s.count(r.Fingerprint) >= s.limit
 		if reached && !slices.Contains(out.Reached, r.Fingerprint) {
 			out.Reached = append(out.Reached, r.Fingerprint)
 		}
 	}
-	s.sends = sends
 	return out
 }
 
 // expire drops records and verdicts past their life.
 func (s *Set) expire(now core.Micros) {
-	s.records = slices.DeleteFunc(s.records, func(r Record) bool {
-		expired := r.Made+Life <= now
-		if expired {
-			delete(s.sends, r.key())
-		}
-		return expired
-	})
+	s.records = slices.DeleteFunc(s.records, func(r Record) bool { return r.Made+Life <= now })
 	for f, made := range s.verdicts {
 		if made+Life <= now {
 			delete(s.verdicts, f)
@@ -142,39 +123,10 @@
 	return verdict || s.limit > 0 && s.count(f) >= s.limit
 }
 
-// Records returns all records, newest first, for the exchange of full tables.
+// Records returns all records, newest first, for operators and tests.
 func (s *Set) Records(now core.Micros) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
 	return slices.Clone(s.records)
 }
-
-// ToSend returns at most n records to put into the next packet, those sent least first, and counts the transmission.
-func (s *Set) ToSend(now core.Micros, n int) []Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire(now)
-	if len(s.sends) == 0 {
-		return nil
-	}
-	out := make([]Record, 0, len(s.sends))
-	for _, r := range s.records {
-		if s.sends[r.key()] > 0 {
-			out = append(out, r)
-		}
-	}
-	slices.SortStableFunc(out, func(a, b Record) int { return cmp.Compare(s.sends[b.key()], s.sends[a.key()]) })
-	out = out[:min(len(out), n)]
-	for i := range out {
-		s.sent(out[i].key())
-	}
-	return out
-}
-
-func (s *Set) sent(key recordKey) {
-	s.sends[key]--
-	if s.sends[key] == 0 {
-		delete(s.sends, key)
-	}
-}
