Add carobedge: the daemon that forwards requests on the Trust's platform, with its adapter

The product lacked forwarding of requests and streams unchanged, streams resumed by event id, prompts read by several engines, and dispatch without a set-aside allocator.

--- /dev/null
+++ b/internal/dispatch/score.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
+
+const (
+	// lateLoss is the share of its benefit that a late request loses.
+	lateLoss = 0.75
+	// A prediction that reaches certainlyLate times the target is late, one below surelyOnTime times the target is not;
+	// between them the probability grows linearly. The band covers the unknown position inside the current pass.
+	surelyOnTime  = 0.75
+	certainlyLate = 1.15
+	// worthTokens is how many tokens (prompt, and answer times answerWeight) are worth one unit of benefit. Only the
+	// ratio between requests matters.
+	worthTokens  = 20_000
+	answerWeight = 10
+	minWorth     = 0.3
+	// openEngineLoss is charged, as a share of a writer's worth, for the first writer with short pauses on an engine:
+	// an engine without such writers can read long prompts without making anything late.
+	openEngineLoss = 0.04
+	// helperRisk is the probability that a helping engine fails while it reads, which ends the whole request.
+	helperRisk = 0.0005
+	// loadLoss breaks ties in favour of engines with less to do, per millisecond.
+	loadLoss = 0.00002
+	// otherDomainLoss is charged for a server in another failure domain; bytes between domains cost money.
+	otherDomainLoss = 0.004
+)
+
+// readerCounts are the numbers of engines tried for one prompt; a request names at most 16 helpers.
+var readerCounts = []int{1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17}
+
+// worth estimates the benefit of a request by its size.
+func worth(prompt, answer int) float64 {
+	return max(minWorth, float64(prompt+answerWeight*answer)/worthTokens)
+}
+
+// lateProbability returns how probably something predicted to take took is later than target.
+func lateProbability(took, target float64) float64 {
+	if target <= 0 {
+		return 0
+	}
+	x := (took/target - surelyOnTime) / (certainlyLate - surelyOnTime)
+	return min(1, max(0, x))
+}
+
+func ms(m core.Micros) float64 { return float64(m) / float64(core.Millisecond) }
+
+func micros(ms float64) core.Micros { return core.Micros(ms * float64(core.Millisecond)) }
+
+// candidate is a server under consideration for one request.
+type candidate struct {
+	*server
+	pass, pending float64 // ms
+	harm          float64
+}
+
+// harmOf predicts what the requests on a server lose if it reads cost more milliseconds.
+func (c *candidate) harmOf(now core.Micros, cost float64) float64 {
+	before := c.pass + c.pending
+	after := before + cost
+	loss := 0.0
+	for _, j := range c.jobs {
+		if j.late {
+			continue
+		}
+		if j.writing {
+			pause := ms(j.pause)
+			loss += j.worth * lateLoss * (lateProbability(after, pause) - lateProbability(before, pause))
+			continue
+		}
+		left := ms(j.firstBy - now)
+		if left > 0 {
+			loss += j.worth * lateLoss * (lateProbability(after, left) - lateProbability(before, left))
+		}
+	}
+	return loss
+}
+
+// finishMs predicts when a part of cost ms is read, counted from now.
+func (c *candidate) finishMs(cost float64) float64 {
+	return c.pass/2 + c.pass + c.pending + cost
+}
+
+// opens returns the loss of putting the first writer with pauses as short as pause on the engine.
+func (c *candidate) opens(pause core.Micros, w float64) float64 {
+	for _, j := range c.jobs {
+		if j.pause <= pause {
+			return 0
+		}
+	}
+	return openEngineLoss * w
+}
+
+// option is a way to run a request.
+type option struct {
+	lead    *candidate
+	helpers []*candidate
+	holds   []heldMemory
+	costMs  float64 // of each part
+	firstMs float64
+	loss    float64
+}
+
+// engineOption returns the option with the least predicted loss, or nil if no engine can lead now.
+func (c *Core) engineOption(now core.Micros, w *Work, list []*candidate) *option {
+	var best *option
+	for _, n := range readerCounts {
+		if n > len(list) {
+			break
+		}
+		if o := c.withReaders(now, w, list, n); o != nil && (best == nil || o.loss < best.loss) {
+			best = o
+		}
+	}
+	return best
+}
+
+// withReaders returns the best option in which n engines read the prompt.
+func (c *Core) withReaders(now core.Micros, w *Work, list []*candidate, n int) *option {
+	model := list[0].model
+	cost := model.ReadMs(w.Prompt) / float64(n)
+	value := worth(w.Prompt, w.Answer)
+	for _, s := range list {
+		s.harm = s.harmOf(now, cost*s.pace) + loadLoss*(s.pass+s.pending) + s.failureRate*value
+	}
+	lead := c.bestLead(w, list, value)
+	if lead == nil {
+		return nil
+	}
+	o := &option{lead: lead, costMs: cost, loss: lead.harm + lead.opens(w.Pause, value) + c.domainLoss(lead.server)}
+	o.helpers = bestHelpers(list, lead, n-1)
+	if len(o.helpers) < n-1 {
+		return nil
+	}
+	o.firstMs = lead.finishMs(cost * lead.pace)
+	for _, h := range o.helpers {
+		o.firstMs = max(o.firstMs, h.finishMs(cost*h.pace))
+		o.loss += h.harm + helperRisk*value
+	}
+	o.loss += value * ownLateness(now, w, o.firstMs)
+	return o
+}
+
+// ownLateness returns the share of its benefit that a request loses by its first event coming after firstMs.
+func ownLateness(now core.Micros, w *Work, firstMs float64) float64 {
+	sinceArrival := ms(now-w.Arrived) + firstMs
+	loss := lateLoss * lateProbability(sinceArrival, ms(w.FirstBy-w.Arrived))
+	return loss + (1-lateLoss)*lateProbability(sinceArrival, ms(w.GiveUp-w.Arrived))
+}
+
+// bestLead returns the engine with the least loss that has a slot and memory for the whole request.
+func (c *Core) bestLead(w *Work, list []*candidate, value float64) *candidate {
+	need := w.Prompt + w.Answer
+	var best *candidate
+	bestLoss := 0.0
+	for _, s := range list {
+		if s.freeSlots() <= 0 || s.freeMemory() < need {
+			continue
+		}
+		loss := s.harm + s.opens(w.Pause, value) + c.domainLoss(s.server)
+		if best == nil || loss < bestLoss {
+			best, bestLoss = s, loss
+		}
+	}
+	return best
+}
+
+func (c *Core) domainLoss(s *server) float64 {
+	if s.Domain == c.domain {
+		return 0
+	}
+	return otherDomainLoss
+}
+
+// bestHelpers returns the n engines with the least harm beside the lead.
+func bestHelpers(list []*candidate, lead *candidate, n int) []*candidate {
+	if n == 0 {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(list), func(s *candidate) bool { return s == lead })
+	slices.SortStableFunc(others, func(a, b *candidate) int { return cmp.Compare(a.harm, b.harm) })
+	return others[:min(n, len(others))]
+}
--- /dev/null
+++ b/internal/edge/daemon.go
@@ -0,0 +1,283 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/app"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/crashes"
+	"github.com/carobstile/carobstile/internal/directory"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/forward"
+	"github.com/carobstile/carobstile/internal/neighbors"
+	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/retrybudget"
+	"github.com/carobstile/carobstile/internal/routing"
+	"github.com/carobstile/carobstile/internal/shell"
+	"github.com/carobstile/carobstile/internal/upstream"
+)
+
+const (
+	// memoryShare is the share of the host's memory at which the garbage collector works harder; bytes that are received
+	// and not yet read count as well.
+	memoryShare = 0.6
+	// crashLimit is how many servers a request may crash before it is refused.
+	crashLimit = 3
+	// unknownDaemons is among how many daemons budgets are divided before any neighbour is known.
+	unknownDaemons = 16
+	// announceRetry is the pause between tries to write the own entry.
+	announceRetry = 2 * time.Second
+	// housekeepEvery is how often idle connections and lapsed entries are looked at.
+	housekeepEvery = 250 * time.Millisecond
+	// outageMemory is how long after the last failed call entries that vanish are taken for lapsed.
+	outageMemory = 3 * time.Second
+)
+
+// Daemon is one carobedge process.
+type Daemon struct {
+	settings  *Settings
+	adapter   Adapter
+	log       *slog.Logger
+	start     time.Time
+	boot      uint64
+	table     atomic.Pointer[routing.Table]
+	scheduler *scheduler
+	link      *neighbors.Link
+	handler   *forward.Handler
+	pool      *upstream.Pool
+	budget    *retrybudget.Budget
+	crashes   *crashes.Set
+	config    *directory.Follower
+	entries   *directory.Follower
+	metrics   *metrics
+
+	serversMu sync.Mutex
+	servers   *serverList
+	paces     map[string]float64
+	haveList  bool
+
+	// serversRevision is the revision of the last change of the servers that this daemon knows.
+	serversRevision atomic.Uint64
+	// joined is set when a neighbour needs a whole summary.
+	joined   atomic.Bool
+	fetching atomic.Bool
+	draining atomic.Bool
+	stopping chan struct{}
+}
+
+// Start adds the actors of a daemon to the environment of its process.
+func Start(s *Settings, env *app.Env, a Adapter) error {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	d := &Daemon{
+		settings: s, adapter: a, log: env.Log, start: time.Now(), boot: rand.Uint64(), pool: upstream.NewPool(),
+		crashes: crashes.NewSet(crashLimit), paces: map[string]float64{}, stopping: make(chan struct{}), metrics: newMetrics(),
+	}
+	d.servers = newServerList(a.Codec, env.Log)
+	d.scheduler = newScheduler(s.FailureDomain, d.now)
+	d.budget = retrybudget.New(retrybudget.Limits{
+		Ratio: s.Retry.Ratio, Allowance: s.Retry.Allowance, Window: core.Span(seconds(s.Retry.WindowSeconds)),
+	}, unknownDaemons, d.now)
+	link, err := neighbors.Listen(d.self(), d, env.Log)
+	if err != nil {
+		return err
+	}
+	d.link = link
+	d.scheduler.tell = link.Tell
+	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, d.configChanged)
+	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, d.entriesChanged)
+	d.handler = &forward.Handler{
+		Dialect: a.Codec, Scheduler: d.scheduler, Budget: d.budget, Suspects: (*suspects)(d), Pool: d.pool,
+		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
+		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.scope),
+	}
+	return d.addActors(env)
+}
+
+// now returns monotonic time of the process.
+func (d *Daemon) now() core.Micros { return core.Span(time.Since(d.start)) }
+
+func (d *Daemon) self() *carobstilev1.EdgeMember {
+	return &carobstilev1.EdgeMember{
+		Name: d.settings.Name, FailureDomain: d.settings.FailureDomain, PacketAddress: d.settings.PacketAddress,
+		ServiceAddress: d.settings.ServiceAddress, Boot: d.boot,
+	}
+}
+
+func (d *Daemon) addActors(env *app.Env) error {
+	if err := d.serve(env); err != nil {
+		return err
+	}
+	for _, f := range []func(context.Context){
+		d.config.Run, d.entries.Run, d.link.Run, d.join, d.pollReports, d.housekeep, d.fetchAtStart,
+	} {
+		env.Background(f)
+	}
+	return nil
+}
+
+// join writes the own entry and greets the daemons that the store lists.
+func (d *Daemon) join(ctx context.Context) {
+	for {
+		err := d.announce(ctx)
+		if err == nil {
+			return
+		}
+		d.log.Warn("own entry not written", "err", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(announceRetry):
+		}
+	}
+}
+
+func (d *Daemon) announce(ctx context.Context) error {
+	value, err := json.Marshal(d.self())
+	if err != nil {
+		return errors.Wrap(err, "own entry")
+	}
+	if err := d.adapter.Store.Announce(ctx, d.settings.Name, value); err != nil {
+		return err
+	}
+	image, err := d.adapter.Store.List(ctx, KindDaemons)
+	if err != nil {
+		return err
+	}
+	for name, o := range image.Objects {
+		m := &carobstilev1.EdgeMember{}
+		if err := json.Unmarshal(o.Value, m); err != nil {
+			d.log.Warn("entry names no daemon", "daemon", name, "err", err)
+			continue
+		}
+		d.link.Meet(m)
+	}
+	return nil
+}
+
+// configChanged puts a newer configuration in force.
+func (d *Daemon) configChanged(image directory.Image) {
+	o, ok := image.Objects[d.adapter.Codec.ConfigName()]
+	if !ok {
+		d.log.Warn("store holds no configuration", "revision", image.Revision)
+		return
+	}
+	if !d.adopt(o) {
+		return
+	}
+	d.updateServers()
+	d.link.Tell(true, func(p *carobstilev1.EdgePacket) { d.versions(p) })
+}
+
+// adopt reports whether the object holds a newer configuration than the one in force.
+func (d *Daemon) adopt(o platform.Object) bool {
+	c, err := d.adapter.Codec.Config(o.Value)
+	if err != nil {
+		d.log.Error("configuration not understood", "revision", o.Version, "err", err)
+		return false
+	}
+	if old := d.table.Load(); old != nil && old.Version >= c.Version {
+		return false
+	}
+	d.table.Store(routing.NewTable(c))
+	d.log.Info("configuration in force", "version", c.Version, "revision", o.Version, "routes", len(c.Routes))
+	return true
+}
+
+// entriesChanged takes in what backend servers wrote of themselves.
+func (d *Daemon) entriesChanged(image directory.Image) {
+	d.serversMu.Lock()
+	d.servers.update(time.Now(), image, d.outage())
+	d.haveList = true
+	d.serversMu.Unlock()
+	d.serversRevision.Store(image.Revision)
+	d.updateServers()
+	d.link.Tell(true, func(p *carobstilev1.EdgePacket) { d.versions(p) })
+}
+
+// outage reports whether the store was away shortly before. It is called by the follower of the entries, whose lock it
+// must not take.
+func (d *Daemon) outage() bool {
+	failing, since := d.config.Failing()
+	return failing || time.Since(since) < outageMemory && d.now() > core.Span(outageMemory)
+}
+
+// updateServers tells dispatch of servers and services.
+func (d *Daemon) updateServers() {
+	table := d.table.Load()
+	if table == nil {
+		return
+	}
+	d.serversMu.Lock()
+	list := d.servers.list()
+	d.serversMu.Unlock()
+	services := make([]dispatch.Service, 0, len(table.Services))
+	for i := range table.Services {
+		services = append(services, dispatch.Service{Name: table.Services[i].Name, Model: table.Services[i].Engine})
+	}
+	d.scheduler.Step(dispatch.ServersChanged{Now: d.now(), Servers: list, Services: services})
+}
+
+func (d *Daemon) addressOf(server string) (string, bool) {
+	d.serversMu.Lock()
+	defer d.serversMu.Unlock()
+	s, ok := d.servers.servers[server]
+	return s.Address, ok
+}
+
+// housekeep drops what has run out.
+func (d *Daemon) housekeep(ctx context.Context) {
+	shell.Every(ctx, housekeepEvery, func(context.Context) {
+		d.serversMu.Lock()
+		dropped := d.servers.expire(time.Now())
+		d.serversMu.Unlock()
+		if dropped {
+			d.updateServers()
+		}
+		d.budget.SetDaemons(d.link.Sharing())
+		d.pool.Retain(func(t upstream.Target) bool {
+			address, ok := d.addressOf(t.ID)
+			return ok && address == t.Address
+		})
+		d.scheduler.Step(dispatch.Tick{Now: d.now()})
+	})
+}
+
+// suspects implements forward.Suspects on the set of crash records.
+type suspects Daemon
+
+// Refused implements forward.Suspects.
+func (s *suspects) Refused(fingerprint string) bool {
+	return s.crashes.Refused((*Daemon)(s).now(), crashes.Fingerprint(fingerprint))
+}
+
+// Crashed implements forward.Suspects.
+func (s *suspects) Crashed(fingerprint, server string) {
+	d := (*Daemon)(s)
+	d.crashed(&carobstilev1.EdgeCrash{Fingerprint: []byte(fingerprint), Server: server}, true)
+}
+
+// crashed adds a record; own ones are told to the neighbours.
+func (d *Daemon) crashed(c *carobstilev1.EdgeCrash, own bool) {
+	change := d.crashes.Add(d.now(), crashes.Record{
+		Fingerprint: crashes.Fingerprint(c.GetFingerprint()), Incarnation: c.GetServer(), Made: d.now(),
+	})
+	if len(change.New) == 0 {
+		return
+	}
+	if len(change.Reached) > 0 {
+		d.log.Warn("request refused from now on", "fingerprint", change.Reached[0], "server", c.GetServer())
+	}
+	if own {
+		d.link.Tell(true, func(p *carobstilev1.EdgePacket) { p.Crashes = append(p.Crashes, c) })
+	}
+}
--- /dev/null
+++ b/internal/edge/fetch.go
@@ -0,0 +1,114 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/gen/carobstile/v1/carobstilev1connect"
+	"github.com/carobstile/carobstile/internal/directory"
+	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/upstream"
+)
+
+// fetchTimeout bounds a copy from a neighbour; it has to be in force two seconds after the store's confirmation.
+const fetchTimeout = 600 * time.Millisecond
+
+var fetchClient = &http.Client{Transport: upstream.Transport()}
+
+// fetch takes in what another daemon knows.
+func (d *Daemon) fetch(address string) {
+	if !d.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	client := carobstilev1connect.NewEdgeServiceClient(fetchClient, "http://"+address)
+	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{}))
+	if err != nil {
+		d.log.Info("neighbour not asked", "address", address, "err", err)
+		return
+	}
+	d.takeIn(resp.Msg)
+}
+
+func (d *Daemon) takeIn(m *carobstilev1.FetchResponse) {
+	for _, member := range m.GetMembers() {
+		d.link.Meet(member)
+	}
+	for _, c := range m.GetCrashes() {
+		d.crashed(c, false)
+	}
+	for _, i := range m.GetImages() {
+		image, err := decodeImage(i)
+		if err != nil {
+			d.log.Warn("copy of a neighbour not understood", "kind", i.GetKind(), "err", err)
+			continue
+		}
+		switch i.GetKind() {
+		case KindConfig:
+			d.config.Adopt(image)
+		case KindServers:
+			d.entries.Adopt(image)
+		}
+	}
+}
+
+// peerService answers other daemons.
+type peerService struct{ d *Daemon }
+
+var _ carobstilev1connect.EdgeServiceHandler = peerService{}
+
+// Fetch implements carobstilev1connect.EdgeServiceHandler.
+func (s peerService) Fetch(
+	context.Context, *connect.Request[carobstilev1.FetchRequest],
+) (*connect.Response[carobstilev1.FetchResponse], error) {
+	out := &carobstilev1.FetchResponse{Members: s.d.link.Members()}
+	for _, r := range s.d.crashes.Records(s.d.now()) {
+		out.Crashes = append(out.Crashes, &carobstilev1.EdgeCrash{
+			Fingerprint: []byte(r.Fingerprint), Server: r.Incarnation,
+		})
+	}
+	for _, f := range []*directory.Follower{s.d.config, s.d.entries} {
+		image, known := f.Image()
+		if !known {
+			continue
+		}
+		encoded, err := encodeImage(image)
+		if err != nil {
+			return nil, err
+		}
+		out.Images = append(out.Images, encoded)
+	}
+	return connect.NewResponse(out), nil
+}
+
+func encodeImage(image directory.Image) (*carobstilev1.EdgeImage, error) {
+	out := &carobstilev1.EdgeImage{Kind: image.Kind, Revision: image.Revision}
+	for _, o := range image.Objects {
+		data, err := json.Marshal(o)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s/%s", image.Kind, o.Name)
+		}
+		out.Objects = append(out.Objects, data)
+	}
+	return out, nil
+}
+
+func decodeImage(i *carobstilev1.EdgeImage) (directory.Image, error) {
+	out := directory.Image{Kind: i.GetKind(), Revision: i.GetRevision(), Objects: map[string]platform.Object{}}
+	for _, data := range i.GetObjects() {
+		var o platform.Object
+		if err := json.Unmarshal(data, &o); err != nil {
+			return directory.Image{}, errors.Wrap(err, "object")
+		}
+		out.Objects[o.Name] = o
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/edge/hints.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/neighbors"
+)
+
+// fetchDelay is how long a neighbour may be ahead before its copy is fetched. The store normally tells every daemon
+// within a few milliseconds.
+const fetchDelay = 200 * time.Millisecond
+
+var _ neighbors.Handler = (*Daemon)(nil)
+
+// Packet implements neighbors.Handler.
+func (d *Daemon) Packet(p *carobstilev1.EdgePacket, restarted bool) {
+	now := d.now()
+	peer := p.GetSender().GetName()
+	if restarted {
+		d.scheduler.Step(dispatch.PeerLost{Now: now, Peer: peer})
+	}
+	for _, j := range p.GetPlaced() {
+		d.scheduler.Step(dispatch.PeerPlaced{Now: now, Peer: peer, Job: decodeJob(j)})
+	}
+	for _, id := range p.GetFirst() {
+		d.scheduler.Step(dispatch.PeerFirst{Now: now, ID: id})
+	}
+	for _, id := range p.GetEnded() {
+		d.scheduler.Step(dispatch.PeerEnded{Now: now, ID: id})
+	}
+	if p.GetSummary() {
+		d.scheduler.Step(dispatch.PeerHolds{Now: now, Peer: peer, IDs: p.GetActive()})
+	}
+	for _, f := range p.GetFaults() {
+		d.scheduler.Step(dispatch.ServerFailed{Now: now, Server: f.GetServer(), Fault: dispatch.Fault(f.GetFault())})
+	}
+	for _, r := range p.GetReports() {
+		d.scheduler.Step(dispatch.ServerAlive{Now: now, Server: r.GetServer(), Pace: r.GetPace()})
+	}
+	for _, c := range p.GetCrashes() {
+		d.crashed(c, false)
+	}
+	if d.behind(p) {
+		time.AfterFunc(fetchDelay, func() {
+			if d.behind(p) {
+				d.fetch(p.GetSender().GetServiceAddress())
+			}
+		})
+	}
+}
+
+// behind reports whether the sender knows a newer state of the store.
+func (d *Daemon) behind(p *carobstilev1.EdgePacket) bool {
+	mine := &carobstilev1.EdgePacket{}
+	d.versions(mine)
+	return p.GetConfigVersion() > mine.GetConfigVersion() || p.GetServersRevision() > mine.GetServersRevision()
+}
+
+// versions fills in what this daemon knows of the store.
+func (d *Daemon) versions(p *carobstilev1.EdgePacket) {
+	if table := d.table.Load(); table != nil {
+		p.ConfigVersion = table.Version
+	}
+	p.ServersRevision = d.serversRevision.Load()
+}
+
+// Summary implements neighbors.Handler.
+func (d *Daemon) Summary(p *carobstilev1.EdgePacket) {
+	d.versions(p)
+	d.scheduler.summary(p, d.joined.Swap(false))
+}
+
+// Joined implements neighbors.Handler.
+func (d *Daemon) Joined(m *carobstilev1.EdgeMember) {
+	d.joined.Store(true)
+	d.log.Info("neighbour heard", "daemon", m.GetName(), "domain", m.GetFailureDomain())
+}
+
+// Away implements neighbors.Handler. What a silent neighbour has committed may still run; it ends with its deadlines.
+func (d *Daemon) Away(m *carobstilev1.EdgeMember) {
+	d.log.Info("neighbour away", "daemon", m.GetName(), "leaving", m.GetLeaving())
+}
+
+// fetchAtStart asks seeds and neighbours until a configuration is known, in case the store cannot be reached.
+func (d *Daemon) fetchAtStart(ctx context.Context) {
+	ticker := time.NewTicker(fetchDelay)
+	defer ticker.Stop()
+	for !d.complete() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		failing, _ := d.config.Failing()
+		if !failing || d.complete() {
+			continue
+		}
+		for _, address := range d.seeds() {
+			d.fetch(address)
+		}
+	}
+}
+
+// seeds returns service addresses of daemons that may be asked.
+func (d *Daemon) seeds() []string {
+	var out []string
+	for _, seed := range d.settings.Seeds {
+		if address, err := netip.ParseAddrPort(seed); err == nil && seed != d.settings.ServiceAddress {
+			out = append(out, address.String())
+		}
+	}
+	for _, m := range d.link.Members() {
+		if m.GetName() != d.settings.Name {
+			out = append(out, m.GetServiceAddress())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/scheduler.go
@@ -0,0 +1,172 @@
+package edge
+
+import (
+	"context"
+	"sync"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/forward"
+	"github.com/carobstile/carobstile/internal/shell"
+)
+
+// youngJob is how long a commitment is repeated in summaries, in case the first datagram was lost.
+const youngJob = 1200 * core.Millisecond
+
+// scheduler is the shell of dispatch.Core.
+type scheduler struct {
+	now    func() core.Micros
+	tell   func(urgent bool, add func(p *carobstilev1.EdgePacket))
+	timers shell.Timers
+
+	mu      sync.Mutex
+	core    *dispatch.Core
+	waiting map[uint64]chan placement
+	own     map[uint64]*ownJob
+}
+
+type placement struct {
+	plan    dispatch.Plan
+	refusal *forward.Refusal
+}
+
+// ownJob is a commitment of this daemon, as told to the neighbours.
+type ownJob struct {
+	dispatch.Job
+	placed core.Micros
+}
+
+func newScheduler(domain string, now func() core.Micros) *scheduler {
+	return &scheduler{
+		now: now, core: dispatch.New(domain), waiting: map[uint64]chan placement{}, own: map[uint64]*ownJob{},
+	}
+}
+
+var _ forward.Scheduler = (*scheduler)(nil)
+
+// Place implements forward.Scheduler.
+func (s *scheduler) Place(ctx context.Context, w dispatch.Work) (dispatch.Plan, error) {
+	answer := make(chan placement, 1)
+	s.mu.Lock()
+	s.waiting[w.ID] = answer
+	s.step(dispatch.Arrived{Now: s.now(), Work: w})
+	s.mu.Unlock()
+	select {
+	case p := <-answer:
+		if p.refusal != nil {
+			return dispatch.Plan{}, p.refusal
+		}
+		return p.plan, nil
+	case <-ctx.Done():
+		s.Cancelled(w.ID)
+		return dispatch.Plan{}, ctx.Err()
+	}
+}
+
+// First implements forward.Scheduler.
+func (s *scheduler) First(id uint64) { s.Step(dispatch.FirstEvent{Now: s.now(), ID: id}) }
+
+// Finished implements forward.Scheduler.
+func (s *scheduler) Finished(id uint64) { s.Step(dispatch.Finished{Now: s.now(), ID: id}) }
+
+// Cancelled implements forward.Scheduler.
+func (s *scheduler) Cancelled(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+	s.step(dispatch.Cancelled{Now: s.now(), ID: id})
+}
+
+// Failed implements forward.Scheduler. Neighbours are told of servers that cannot be used at all.
+func (s *scheduler) Failed(server string, f dispatch.Fault) {
+	s.Step(dispatch.ServerFailed{Now: s.now(), Server: server, Fault: f})
+	if f == dispatch.FaultUnreachable || f == dispatch.FaultSilent {
+		s.tell(true, func(p *carobstilev1.EdgePacket) {
+			p.Faults = append(p.Faults, &carobstilev1.EdgeFault{Server: server, Fault: int32(f)})
+		})
+	}
+}
+
+// Step applies an event of another source.
+func (s *scheduler) Step(ev dispatch.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(ev)
+}
+
+// step applies an event and performs its effects; none of them blocks.
+func (s *scheduler) step(ev dispatch.Event) {
+	for _, effect := range s.core.Step(ev) {
+		switch e := effect.(type) {
+		case dispatch.Assign:
+			s.answer(e.ID, placement{plan: e.Plan})
+		case dispatch.Refuse:
+			s.answer(e.ID, placement{refusal: &forward.Refusal{RetryAfter: e.RetryAfter.Duration(), Reason: e.Reason}})
+		case dispatch.SetTimer:
+			s.timers.Set("waiting", e.At-s.now(), func() { s.Step(dispatch.Tick{Now: s.now()}) })
+		case dispatch.Announce:
+			s.announce(e.Job)
+		case dispatch.AnnounceFirst:
+			if j := s.own[e.ID]; j != nil {
+				j.Writing = true
+			}
+			s.tell(false, func(p *carobstilev1.EdgePacket) { p.First = append(p.First, e.ID) })
+		case dispatch.AnnounceEnd:
+			delete(s.own, e.ID)
+			s.tell(false, func(p *carobstilev1.EdgePacket) { p.Ended = append(p.Ended, e.ID) })
+		}
+	}
+}
+
+func (s *scheduler) answer(id uint64, p placement) {
+	if answer := s.waiting[id]; answer != nil {
+		delete(s.waiting, id)
+		answer <- p
+	}
+}
+
+func (s *scheduler) announce(job dispatch.Job) {
+	now := s.now()
+	j := &ownJob{Job: job, placed: now}
+	s.own[job.ID] = j
+	s.tell(true, func(p *carobstilev1.EdgePacket) { p.Placed = append(p.Placed, j.encode(now)) })
+}
+
+// summary fills in all that this daemon runs. Jobs are spelled out while they are young, or all if whole is set.
+func (s *scheduler) summary(p *carobstilev1.EdgePacket, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for id, j := range s.own {
+		p.Active = append(p.Active, id)
+		if whole || now-j.placed < youngJob {
+			p.Placed = append(p.Placed, j.encode(now))
+		}
+	}
+}
+
+func (j *ownJob) encode(now core.Micros) *carobstilev1.EdgeJob {
+	since := now - j.placed
+	out := &carobstilev1.EdgeJob{
+		Id: j.ID, Service: j.Service, Lead: j.Lead, Helpers: j.Helpers, PromptTokens: int64(j.Prompt),
+		AnswerTokens: int64(j.Answer), PauseMicros: int64(j.Pause), FirstInMicros: int64(j.FirstIn - since),
+		EndInMicros: int64(j.EndIn - since), Writing: j.Writing,
+	}
+	for _, h := range j.Holds {
+		out.Holds = append(out.Holds, &carobstilev1.EdgeHold{Server: h.Server, Tokens: int64(h.Tokens)})
+	}
+	return out
+}
+
+func decodeJob(j *carobstilev1.EdgeJob) dispatch.Job {
+	out := dispatch.Job{
+		ID: j.GetId(), Service: j.GetService(), Lead: j.GetLead(), Helpers: j.GetHelpers(),
+		Prompt: int(j.GetPromptTokens()), Answer: int(j.GetAnswerTokens()), Pause: core.Micros(j.GetPauseMicros()),
+		FirstIn: core.Micros(j.GetFirstInMicros()), EndIn: core.Micros(j.GetEndInMicros()), Writing: j.GetWriting(),
+	}
+	for _, h := range j.GetHolds() {
+		out.Holds = append(out.Holds, dispatch.Hold{Server: h.GetServer(), Tokens: int(h.GetTokens())})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/neighbors/link.go
@@ -0,0 +1,307 @@
+// Package neighbors exchanges hints between daemons by UDP: commitments on backend servers, failures that one daemon has
+// seen, and the versions of what each knows of the platform's store. Nothing depends on a datagram that is lost: a
+// summary follows twice a second.
+package neighbors
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+)
+
+const (
+	// summaryEvery is how often all that a daemon runs is told again.
+	summaryEvery = 500 * time.Millisecond
+	// urgentDelay gathers placements that are decided together; the choice of a neighbour a few milliseconds later
+	// should know of them.
+	urgentDelay = time.Millisecond
+	// relaxedDelay gathers ends and first events, which only free what was counted.
+	relaxedDelay = 15 * time.Millisecond
+	// silentAfter is how long a neighbour may say nothing before it counts as away.
+	silentAfter = 2 * time.Second
+	// forgetAfter is how long a daemon that is away still counts among those that share budgets.
+	forgetAfter = 15 * time.Second
+	// probeAwayEvery is how many summaries pass between two that also go to daemons that are away.
+	probeAwayEvery = 4
+	// maxPacket bounds a datagram, in bytes; larger ones are split by number of jobs.
+	maxPacket = 60_000
+	// maxJobs bounds the jobs of one datagram.
+	maxJobs = 64
+)
+
+// Handler is told what neighbours say.
+type Handler interface {
+	// Packet handles a datagram; restarted says that its sender is another process than before.
+	Packet(p *carobstilev1.EdgePacket, restarted bool)
+	// Summary fills in what the daemon knows and runs.
+	Summary(p *carobstilev1.EdgePacket)
+	// Joined says that a daemon was heard for the first time or is back.
+	Joined(m *carobstilev1.EdgeMember)
+	// Away says that a daemon has fallen silent or is leaving.
+	Away(m *carobstilev1.EdgeMember)
+}
+
+type neighbor struct {
+	member  *carobstilev1.EdgeMember
+	address netip.AddrPort
+	heard   time.Time
+	away    bool
+}
+
+// Link sends to and receives from the neighbours of one daemon.
+type Link struct {
+	conn    *net.UDPConn
+	handler Handler
+	log     *slog.Logger
+
+	mu        sync.Mutex
+	self      *carobstilev1.EdgeMember
+	neighbors map[string]*neighbor
+	pending   *carobstilev1.EdgePacket
+	timer     *time.Timer
+	due       time.Time
+	summaries int
+}
+
+// Listen opens the address of self for datagrams.
+func Listen(self *carobstilev1.EdgeMember, handler Handler, log *slog.Logger) (*Link, error) {
+	address, err := net.ResolveUDPAddr("udp4", self.GetPacketAddress())
+	if err != nil {
+		return nil, errors.Wrap(err, "packet address")
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "packet address")
+	}
+	return &Link{
+		conn: conn, handler: handler, log: log, self: self, neighbors: map[string]*neighbor{},
+		pending: &carobstilev1.EdgePacket{},
+	}, nil
+}
+
+// Run receives and sends until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	defer stop()
+	go l.summarize(ctx)
+	buffer := make([]byte, 1<<16)
+	for {
+		n, _, err := l.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.log.Warn("datagram not received", "err", err)
+			continue
+		}
+		l.receive(buffer[:n])
+	}
+}
+
+func (l *Link) receive(data []byte) {
+	p := &carobstilev1.EdgePacket{}
+	if err := proto.Unmarshal(data, p); err != nil {
+		l.log.Warn("datagram not understood", "err", err)
+		return
+	}
+	if p.GetSender().GetName() == l.self.GetName() {
+		return
+	}
+	restarted := l.Meet(p.GetSender())
+	l.heard(p.GetSender())
+	l.handler.Packet(p, restarted)
+}
+
+// Meet takes in a daemon that is known from elsewhere. It reports whether the daemon has restarted since it was known.
+func (l *Link) Meet(m *carobstilev1.EdgeMember) bool {
+	address, err := netip.ParseAddrPort(m.GetPacketAddress())
+	if err != nil || m.GetName() == "" || m.GetName() == l.self.GetName() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.neighbors[m.GetName()]
+	if n == nil {
+		l.neighbors[m.GetName()] = &neighbor{member: m, address: address, heard: time.Now(), away: true}
+		return false
+	}
+	restarted := n.member.GetBoot() != m.GetBoot()
+	n.member, n.address = m, address
+	return restarted
+}
+
+func (l *Link) heard(m *carobstilev1.EdgeMember) {
+	l.mu.Lock()
+	n := l.neighbors[m.GetName()]
+	if n == nil {
+		l.mu.Unlock()
+		return
+	}
+	n.heard = time.Now()
+	joined, left := n.away && !m.GetLeaving(), !n.away && m.GetLeaving()
+	n.away = m.GetLeaving()
+	l.mu.Unlock()
+	if joined {
+		l.handler.Joined(m)
+	}
+	if left {
+		l.handler.Away(m)
+	}
+}
+
+// Members returns all daemons known, this one included.
+func (l *Link) Members() []*carobstilev1.EdgeMember {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []*carobstilev1.EdgeMember{l.self}
+	for _, n := range l.neighbors {
+		out = append(out, n.member)
+	}
+	return out
+}
+
+// Live returns the names of the daemons that are heard, this one included, in order.
+func (l *Link) Live() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []string{l.self.GetName()}
+	for name, n := range l.neighbors {
+		if !n.away {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Sharing returns how many daemons may be sharing budgets, this one included.
+func (l *Link) Sharing() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return 1 + len(l.neighbors)
+}
+
+// Leave tells the neighbours that this daemon is stopping.
+func (l *Link) Leave() {
+	l.mu.Lock()
+	l.self = proto.Clone(l.self).(*carobstilev1.EdgeMember)
+	l.self.Leaving = true
+	l.mu.Unlock()
+	l.sendSummary()
+}
+
+// Tell adds to the next datagram. Urgent news leaves within a millisecond.
+func (l *Link) Tell(urgent bool, add func(p *carobstilev1.EdgePacket)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	add(l.pending)
+	delay := relaxedDelay
+	if urgent {
+		delay = urgentDelay
+	}
+	due := time.Now().Add(delay)
+	if l.timer != nil && !due.Before(l.due) {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.due = due
+	l.timer = time.AfterFunc(delay, l.flush)
+}
+
+func (l *Link) flush() {
+	l.mu.Lock()
+	p := l.pending
+	l.pending, l.timer = &carobstilev1.EdgePacket{}, nil
+	l.mu.Unlock()
+	l.send(p, false)
+}
+
+func (l *Link) summarize(ctx context.Context) {
+	ticker := time.NewTicker(summaryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.sweep()
+			l.sendSummary()
+		}
+	}
+}
+
+// sendSummary tells the neighbours all that this daemon runs, and now and then also those that are away.
+func (l *Link) sendSummary() {
+	p := &carobstilev1.EdgePacket{Summary: true}
+	l.handler.Summary(p)
+	l.mu.Lock()
+	l.summaries++
+	all := l.summaries%probeAwayEvery == 1
+	l.mu.Unlock()
+	l.send(p, all)
+}
+
+// sweep notices neighbours that have fallen silent.
+func (l *Link) sweep() {
+	l.mu.Lock()
+	var gone []*carobstilev1.EdgeMember
+	now := time.Now()
+	for name, n := range l.neighbors {
+		silent := now.Sub(n.heard)
+		if !n.away && silent > silentAfter {
+			n.away = true
+			gone = append(gone, n.member)
+		}
+		if n.away && silent > forgetAfter {
+			delete(l.neighbors, name)
+		}
+	}
+	l.mu.Unlock()
+	for _, m := range gone {
+		l.handler.Away(m)
+	}
+}
+
+// send sends a packet, in several datagrams if it holds many jobs.
+func (l *Link) send(p *carobstilev1.EdgePacket, all bool) {
+	l.mu.Lock()
+	p.Sender = l.self
+	var to []netip.AddrPort
+	for _, n := range l.neighbors {
+		if all || !n.away {
+			to = append(to, n.address)
+		}
+	}
+	l.mu.Unlock()
+	placed := p.GetPlaced()
+	for len(placed) > maxJobs {
+		l.sendOne(&carobstilev1.EdgePacket{Sender: p.GetSender(), Placed: placed[:maxJobs]}, to)
+		placed = placed[maxJobs:]
+	}
+	p.Placed = placed
+	l.sendOne(p, to)
+}
+
+func (l *Link) sendOne(p *carobstilev1.EdgePacket, to []netip.AddrPort) {
+	data, err := proto.Marshal(p)
+	if err != nil || len(data) > maxPacket {
+		l.log.Warn("datagram not sent", "err", err, "bytes", len(data))
+		return
+	}
+	for _, address := range to {
+		if _, err := l.conn.WriteToUDPAddrPort(data, address); err != nil {
+			l.log.Debug("datagram not sent", "to", address, "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,157 @@
+// Package routing holds the part of a configuration that decides what happens to one forwarded request: its route, its
+// workspace and the services that may run it. A Table is immutable; a new configuration makes a new Table.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/carobstile/carobstile/internal/enginecost"
+)
+
+// Repeat says how often one request attempt of a caller may run.
+type Repeat int
+
+const (
+	// RunOnce requests run at most once.
+	RunOnce Repeat = iota
+	// RunAgain requests are idempotent.
+	RunAgain
+	// RunResumed requests are streams that another backend server may continue after the last event delivered.
+	RunResumed
+)
+
+// Repeatable reports whether a request whose outcome is unknown may be sent again.
+func (r Repeat) Repeatable() bool { return r != RunOnce }
+
+// Share is the weight of a service on a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says how requests on a host and path prefix are handled.
+type Route struct {
+	Name string
+	// Host is compared with the Host header without its port; Prefix begins and ends with a slash.
+	Host, Prefix string
+	Repeat       Repeat
+	Stream       bool
+	// Timeout bounds the whole request, FirstTarget the wait for the answer or its first event, and PauseTarget the
+	// pauses between events; the targets are objectives, not limits.
+	Timeout, FirstTarget, PauseTarget time.Duration
+	// Attempts is how many backend servers one request may be sent to.
+	Attempts int
+	// Rank is the priority, 0 the highest.
+	Rank int
+	// Public routes need no key.
+	Public   bool
+	Services []Share
+}
+
+// Service is a set of interchangeable backend servers.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is how many connections one server accepts from all daemons together; 0 means no limit.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *enginecost.Model
+}
+
+// Workspace is the owner of keys.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Rank replaces the rank of the route if it is not nil.
+	Rank *int
+}
+
+// Limits bound what a caller may send; zero values mean no limit.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is a configuration as the adapter decodes it.
+type Config struct {
+	Version    int64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Table answers lookups in one configuration.
+type Table struct {
+	Config
+	byHost     map[string][]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+}
+
+// NewTable indexes a configuration, which must not be changed afterwards.
+func NewTable(c Config) *Table {
+	t := &Table{
+		Config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, workspaces: map[string]*Workspace{},
+	}
+	for i := range c.Routes {
+		host := strings.ToLower(c.Routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &c.Routes[i])
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			t.workspaces[key] = &c.Workspaces[i]
+		}
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix that begins the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// NeedsKey reports whether the configuration has workspaces at all.
+func (t *Table) NeedsKey() bool { return len(t.Workspaces) > 0 }
+
+// Workspace returns the owner of a key, or nil.
+func (t *Table) Workspace(key string) *Workspace { return t.workspaces[key] }
+
+// Pick chooses a service of the route by weight; point is uniform in [0,1). It returns "" for a route without services.
+func (r *Route) Pick(point float64) string {
+	total := 0
+	for _, s := range r.Services {
+		total += max(0, s.Weight)
+	}
+	left := int(point * float64(total))
+	for _, s := range r.Services {
+		if left < s.Weight {
+			return s.Service
+		}
+		left -= max(0, s.Weight)
+	}
+	if len(r.Services) > 0 {
+		return r.Services[0].Service
+	}
+	return ""
+}
