--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,8 +16,15 @@
 )
 
 const (
-	// watchWait is how long a watch may stay without events. Each watch is a priced call.
-	watchWait = 10 * time.Second
+	// A watch can miss changes until it is renewed, when the store drops its history. Daemons tell one another of
+	// changes, so that it suffices if one of them renews its watch every watchSpacing; each watch is a priced call.
+	watchSpacing = 250 * time.Millisecond
+	minWatch     = time.Second
+	maxWatch     = 6 * time.Second
+	// watchJitter spreads the watches of daemons that started together.
+	watchJitter = 0.3
+	// recovery is how long after an outage entries are still coming back.
+	recovery = 2500 * time.Millisecond
 	// Failed calls are repeated after minBackoff, doubled up to maxBackoff: a configuration has to be in force two
 	// seconds after the store has accepted it, and calls beyond the store's rate are refused.
 	minBackoff = 100 * time.Millisecond
@@ -65,20 +72,31 @@
 type Follower struct {
 	kind    string
 	source  Source
-	changed func(Image)
+	changed func(Image, bool)
+	daemons func() int
 	log     *slog.Logger
 
 	mu      sync.Mutex
 	image   Image
 	known   bool
-	adopted bool // the image came from a neighbour since the last call
 	failing bool
-	since   time.Time // when failing last changed
+	// regained is when the store answered again after an outage; zero before the first outage.
+	regained time.Time
 }
 
-// NewFollower returns a follower that calls changed with each new image, never twice at the same time.
-func NewFollower(kind string, source Source, log *slog.Logger, changed func(Image)) *Follower {
-	return &Follower{kind: kind, source: source, changed: changed, log: log.With("kind", kind), since: time.Now()}
+// NewFollower returns a follower that calls changed with each new image, never twice at the same time. The second
+// argument of changed says that the image was read during or shortly after an outage of the store. daemons returns how
+// many daemons follow the store.
+func NewFollower(
+	kind string, source Source, log *slog.Logger, daemons func() int, changed func(Image, bool),
+) *Follower {
+	return &Follower{kind: kind, source: source, changed: changed, daemons: daemons, log: log.With("kind", kind)}
+}
+
+// wait returns how long the next watch may stay without events.
+func (f *Follower) wait() time.Duration {
+	wait := min(maxWatch, max(minWatch, time.Duration(f.daemons())*watchSpacing))
+	return time.Duration(float64(wait) * (1 - watchJitter + 2*watchJitter*rand.Float64()))
 }
 
 // Run follows the store until ctx ends.
@@ -107,7 +125,7 @@
 	if !known {
 		return f.list(ctx)
 	}
-	w, err := f.source.Watch(ctx, f.kind, after, watchWait)
+	w, err := f.source.Watch(ctx, f.kind, after, f.wait())
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history of the store is gone, listing again", "revision", after)
 		return f.list(ctx)
@@ -115,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	f.update(func(old Image) (Image, bool) {
+	f.update(true, func(old Image) (Image, bool) {
 		if old.Revision > w.Revision {
 			return old, false
 		}
@@ -132,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	f.update(func(old Image) (Image, bool) {
+	f.update(true, func(old Image) (Image, bool) {
 		if f.known && image.Revision < old.Revision {
 			return old, false
 		}
@@ -144,7 +162,7 @@
 // Adopt takes a neighbour's image if it is newer.
 func (f *Follower) Adopt(image Image) bool {
 	took := false
-	f.update(func(old Image) (Image, bool) {
+	f.update(false, func(old Image) (Image, bool) {
 		if f.known && image.Revision <= old.Revision {
 			return old, false
 		}
@@ -157,15 +175,18 @@
 	return took
 }
 
-func (f *Follower) update(change func(Image) (Image, bool)) {
+// update changes the image; own says that the change was read from the store by this daemon.
+func (f *Follower) update(own bool, change func(Image) (Image, bool)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	image, news := change(f.image)
 	f.image = image
-	if news {
-		f.known = true
-		f.changed(image)
+	if !news {
+		return
 	}
+	f.known = true
+	recent := !f.regained.IsZero() && time.Since(f.regained) < recovery
+	f.changed(image, own && (f.failing || recent))
 }
 
 // Image returns the present image; known is false before the first.
@@ -175,11 +196,11 @@
 	return f.image, f.known
 }
 
-// Failing reports whether the last call failed, and since when it has been so or not so.
-func (f *Follower) Failing() (bool, time.Time) {
+// Failing reports whether the last call failed.
+func (f *Follower) Failing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing, f.since
+	return f.failing
 }
 
 func (f *Follower) health(err error) {
@@ -189,11 +210,12 @@
 	if failing == f.failing {
 		return
 	}
-	f.failing, f.since = failing, time.Now()
+	f.failing = failing
 	if failing {
 		f.log.Warn("store lost", "err", err)
 		return
 	}
+	f.regained = time.Now()
 	f.log.Info("store regained", "revision", f.image.Revision)
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -39,8 +39,6 @@
 	announceRetry = 2 * time.Second
 	// housekeepEvery is how often idle connections and lapsed entries are looked at.
 	housekeepEvery = 250 * time.Millisecond
-	// outageMemory is how long after the last failed call entries that vanish are taken for lapsed.
-	outageMemory = 3 * time.Second
 )
 
 // Daemon is one carobedge process.
@@ -93,8 +91,8 @@
 	}
 	d.link = link
 	d.scheduler.tell = link.Tell
-	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, d.configChanged)
-	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, d.entriesChanged)
+	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, link.Sharing, d.configChanged)
+	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, link.Sharing, d.entriesChanged)
 	d.handler = &forward.Handler{
 		Dialect: a.Codec, Scheduler: d.scheduler, Budget: d.budget, Suspects: (*suspects)(d), Pool: d.pool,
 		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
@@ -165,7 +163,7 @@
 }
 
 // configChanged puts a newer configuration in force.
-func (d *Daemon) configChanged(image directory.Image) {
+func (d *Daemon) configChanged(image directory.Image, _ bool) {
 	o, ok := image.Objects[d.adapter.Codec.ConfigName()]
 	if !ok {
 		d.log.Warn("store holds no configuration", "revision", image.Revision)
@@ -194,9 +192,9 @@
 }
 
 // entriesChanged takes in what backend servers wrote of themselves.
-func (d *Daemon) entriesChanged(image directory.Image) {
+func (d *Daemon) entriesChanged(image directory.Image, outage bool) {
 	d.serversMu.Lock()
-	d.servers.update(time.Now(), image, d.outage())
+	d.servers.update(time.Now(), image, outage)
 	d.haveList = true
 	d.serversMu.Unlock()
 	d.serversRevision.Store(image.Revision)
@@ -204,13 +202,6 @@
 	d.link.Tell(true, func(p *carobstilev1.EdgePacket) { d.versions(p) })
 }
 
-// outage reports whether the store was away shortly before. It is called by the follower of the entries, whose lock it
-// must not take.
-func (d *Daemon) outage() bool {
-	failing, since := d.config.Failing()
-	return failing || time.Since(since) < outageMemory && d.now() > core.Span(outageMemory)
-}
-
 // updateServers tells dispatch of servers and services.
 func (d *Daemon) updateServers() {
 	table := d.table.Load()
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -95,8 +95,7 @@
 			return
 		case <-ticker.C:
 		}
-		failing, _ := d.config.Failing()
-		if !failing || d.complete() {
+		if !d.config.Failing() || d.complete() {
 			continue
 		}
 		for _, address := range d.seeds() {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -40,40 +40,42 @@
 // update takes in an image; outage says that the store was away shortly before.
 func (l *serverList) update(now time.Time, image directory.Image, outage bool) {
 	present := l.decode(image)
+	for id := range present {
+		delete(l.lapsed, id)
+	}
 	missing := map[string][]string{}
 	total := map[string]int{}
 	for id, s := range l.servers {
 		total[s.Service]++
-		if _, ok := present[id]; !ok && !s.Leaving {
+		if _, ok := present[id]; !ok {
 			missing[s.Service] = append(missing[s.Service], id)
 		}
 	}
 	for service, ids := range missing {
 		lapse := outage || len(ids) >= minLapsed && float64(len(ids)) >= lapseShare*float64(total[service])
 		for _, id := range ids {
-			l.gone(now, id, lapse, present)
-		}
-	}
-	for id := range l.lapsed {
-		if s, ok := present[id]; ok && s == l.servers[id] {
-			delete(l.lapsed, id)
+			if l.lapses(now, id, lapse) {
+				present[id] = l.servers[id]
+			}
 		}
 	}
 	l.servers = present
 }
 
-// gone handles a server whose entry went away.
-func (l *serverList) gone(now time.Time, id string, lapse bool, present map[string]dispatch.Server) {
-	if _, known := l.lapsed[id]; !known && lapse {
+// lapses reports whether a server without an entry is still used.
+func (l *serverList) lapses(now time.Time, id string, lapse bool) bool {
+	until, known := l.lapsed[id]
+	if known && now.Before(until) {
+		return true
+	}
+	if !known && lapse && !l.servers[id].Leaving {
 		l.lapsed[id] = now.Add(lapseGrace)
 		l.log.Info("entry of a server lapsed with the store", "server", id)
-	}
-	if until, ok := l.lapsed[id]; ok && now.Before(until) {
-		present[id] = l.servers[id]
-		return
+		return true
 	}
 	delete(l.lapsed, id)
 	l.log.Info("server is gone", "server", id)
+	return false
 }
 
 // expire drops servers whose entries did not come back. It reports whether there were any.
