Refuse a prompt that would cost others more than it earns

Cause: prompts far over the size of an engine were placed at once when they could not wait, with a predicted loss of five times their own benefit; their parts of several seconds blocked every engine that read one. An engine's backlog beyond 450 ms is charged as well. Ruled out: the pass model (median error of the first event 0 to 17 ms in light load).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -14,7 +14,7 @@
 	// tolerableLoss is the share of its benefit for which a request is not held back any longer.
 	tolerableLoss = 0.02
 	// refuseAfter is the share of a caller's patience after which a request that found no server is refused.
-	refuseAfter = 0.5
+	refuseAfter = 0.25
 	// retryAfter is when a refused caller should come back; a burst of long prompts drains in about a second.
 	retryAfter = core.Second
 	// jobSlack is how long a commitment of a neighbour outlives its deadline in case its end was not heard.
@@ -282,6 +282,9 @@
 		return true
 	}
 	o := c.bestOption(now, w, svc)
+	if o != nil && svc.Model != nil && o.loss >= worth(w.Prompt, w.Answer) {
+		o = nil // others would lose more than this request can earn
+	}
 	if o != nil && (svc.Model == nil || !c.shouldWait(now, w, o)) {
 		c.assign(now, w, o)
 		return true
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -21,7 +21,11 @@
 	minWorth     = 0.3
 	// openEngineLoss is charged, as a share of a writer's worth, for the first writer with short pauses on an engine:
 	// an engine without such writers can read long prompts without making anything late.
-	openEngineLoss = 0.04
+	openEngineLoss = 0.25
+	// An engine that has more than queueMs left to read delays what comes after; queueLoss is charged for each
+	// millisecond beyond. An engine earns about four units of benefit a second.
+	queueMs   = 450
+	queueLoss = 0.004
 	// helperRisk is the probability that a helping engine fails while it reads, which ends the whole request.
 	helperRisk = 0.0005
 	// loadLoss breaks ties in favour of engines with less to do, per millisecond.
@@ -62,7 +66,7 @@
 func (c *candidate) harmOf(now core.Micros, cost float64) float64 {
 	before := c.pass + c.pending
 	after := before + cost
-	loss := 0.0
+	loss := queueLoss * (max(0, c.pending+cost-queueMs) - max(0, c.pending-queueMs))
 	for _, j := range c.jobs {
 		if j.late {
 			continue
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -142,6 +142,10 @@
 // attempt sends the request to the servers of a plan.
 func (q *request) attempt(plan dispatch.Plan, id uint64) (verdict, *kept) {
 	q.lastServer = plan.Lead.ID
+	q.h.Log.Debug("request placed", evlog.KeyRequest, q.ID, "route", q.route.Name, "prompt_tokens", q.Prompt,
+		"server", plan.Lead.ID, "helpers", len(plan.Helpers), "holds", len(plan.Holds), "loss", plan.Loss,
+		"waited_ms", (q.h.Now()-q.arrived).Duration().Milliseconds(),
+		"first_in_ms", (plan.First-q.h.Now()).Duration().Milliseconds())
 	helpers, release, err := q.reserve(plan, id)
 	if err != nil {
 		q.h.Scheduler.Cancelled(id)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/routing"
 	"github.com/carobstile/carobstile/internal/upstream"
 )
@@ -42,6 +43,8 @@
 		if first {
 			first = false
 			q.h.Scheduler.First(id)
+			q.h.Log.Debug("first event", evlog.KeyRequest, q.ID, "server", plan.Lead.ID,
+				"predicted_off_ms", (q.h.Now()-plan.First).Duration().Milliseconds())
 		}
 		ok, err := q.pass(event, resp)
 		if err != nil {
