Judge quiet streams by the state of their servers

Cause: a fixed limit on pauses cut streams on engines whose passes took long under load. A stream is moved when one of its servers is suspect, or when the caller is about to leave.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -81,6 +81,13 @@
 	return c.out
 }
 
+// Suspect reports whether a server has failed and not answered since. One that is not listed any more still
+// serves what it runs.
+func (c *Core) Suspect(now core.Micros, id string) bool {
+	s := c.servers[id]
+	return s != nil && s.suspect(now)
+}
+
 func (c *Core) stepPeer(ev Event) {
 	switch e := ev.(type) {
 	case PeerPlaced:
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// Suspect implements forward.Scheduler.
+func (s *scheduler) Suspect(server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Suspect(s.now(), server)
+}
+
 // Step applies an event of another source.
 func (s *scheduler) Step(ev dispatch.Event) {
 	s.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -22,12 +22,6 @@
 const (
 	// maxPlacements bounds how often one request is given servers, refused sends included.
 	maxPlacements = 6
-	// firstSlack is how much later than predicted the first event may come before its server counts as silent.
-	firstSlack = 900 * time.Millisecond
-	// minStall and stallPauses say how long a stream may be quiet: this many of the longest pauses that are on time. A
-	// caller leaves after eight of them, or two seconds.
-	minStall    = 1100 * time.Millisecond
-	stallPauses = 4
 	// tryShare is the share of the time left that an idempotent request waits for its first server.
 	tryShare = 0.45
 	// maxAnswer bounds answers that are read whole before they are passed on.
@@ -153,12 +147,14 @@
 		return again, nil
 	}
 	defer release()
-	resp, err := q.send(plan, helpers)
+	watch := q.newWatch(plan)
+	defer watch.stop()
+	resp, err := q.send(watch.ctx, plan, helpers)
 	if err != nil {
-		return q.sendFailed(plan, id, err), nil
+		return q.sendFailed(watch, plan, id, err), nil
 	}
 	defer resp.Close()
-	return q.answered(plan, id, resp)
+	return q.answered(watch, plan, id, resp)
 }
 
 func (q *request) reserve(plan dispatch.Plan, id uint64) ([]Helper, func(), error) {
@@ -178,7 +174,7 @@
 	return helpers, release, nil
 }
 
-func (q *request) send(plan dispatch.Plan, helpers []Helper) (*upstream.Response, error) {
+func (q *request) send(ctx context.Context, plan dispatch.Plan, helpers []Helper) (*upstream.Response, error) {
 	left := q.left()
 	send := Send{ServerID: plan.Lead.ID, Left: left, Helpers: helpers, LastEvent: q.LastEvent}
 	if q.workspace != nil {
@@ -190,27 +186,21 @@
 	r := &upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: q.h.Dialect.Outgoing(q.r.Header, send),
 		Body: q.body, Fresh: q.route.Repeat == routing.RunOnce, Limit: time.Now().Add(left),
-		FirstByte: q.firstByteWithin(plan), Own: func(h http.Header) bool { return q.h.Dialect.Owns(h, q.ID) },
+		FirstByte: q.firstByteWithin(), Own: func(h http.Header) bool { return q.h.Dialect.Owns(h, q.ID) },
 	}
-	return q.h.Pool.Send(q.ctx, upstream.Target{ID: plan.Lead.ID, Address: plan.Lead.Address}, r)
+	return q.h.Pool.Send(ctx, upstream.Target{ID: plan.Lead.ID, Address: plan.Lead.Address}, r)
 }
 
-// firstByteWithin bounds the wait for a server where another one could still be tried.
-func (q *request) firstByteWithin(plan dispatch.Plan) time.Duration {
-	switch {
-	case !q.route.Repeat.Repeatable():
-		return 0
-	case q.route.Stream:
-		return max(firstSlack, 2*(plan.First-q.h.Now()).Duration()+firstSlack)
-	case q.sends+1 < q.route.Attempts:
-		return time.Duration(float64(q.left()) * tryShare)
-	default:
+// firstByteWithin bounds the wait for a server of an idempotent request where another one could still be tried.
+func (q *request) firstByteWithin() time.Duration {
+	if q.route.Repeat != routing.RunAgain || q.sends+1 >= q.route.Attempts {
 		return 0
 	}
+	return time.Duration(float64(q.left()) * tryShare)
 }
 
 // sendFailed handles a send that brought no response header.
-func (q *request) sendFailed(plan dispatch.Plan, id uint64, err error) verdict {
+func (q *request) sendFailed(watch *watch, plan dispatch.Plan, id uint64, err error) verdict {
 	q.h.Scheduler.Cancelled(id)
 	q.exclude = append(q.exclude, plan.Lead.ID)
 	q.reason = err.Error()
@@ -225,7 +215,7 @@
 	if q.ctx.Err() != nil {
 		return again
 	}
-	if isTimeout(err) {
+	if watch.stalled() || isTimeout(err) {
 		q.fault(plan, dispatch.FaultSilent)
 		return again
 	}
@@ -245,7 +235,7 @@
 }
 
 // answered handles a response header.
-func (q *request) answered(plan dispatch.Plan, id uint64, resp *upstream.Response) (verdict, *kept) {
+func (q *request) answered(watch *watch, plan dispatch.Plan, id uint64, resp *upstream.Response) (verdict, *kept) {
 	a := q.h.Dialect.Answer(resp.Status, resp.Header)
 	if a.NotRun || a.OtherServer {
 		return q.notRun(plan, id, a), nil
@@ -253,7 +243,7 @@
 	q.sends++
 	q.mayHaveRun = true
 	if q.route.Stream && resp.Status < http.StatusMultipleChoices {
-		return q.relay(plan, id, resp, a), nil
+		return q.relay(watch, plan, id, resp, a), nil
 	}
 	return q.whole(plan, id, resp)
 }
@@ -295,7 +285,6 @@
 
 // whole reads an answer that is no stream and delivers it, or keeps a failure that another server may repair.
 func (q *request) whole(plan dispatch.Plan, id uint64, resp *upstream.Response) (verdict, *kept) {
-	resp.StallAfter(0)
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
 	if err != nil || !resp.Whole() {
 		q.h.Scheduler.Cancelled(id)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,19 +26,18 @@
 
 // relay passes the events of a stream on as they arrive. Only whole events are passed on, so that another server can
 // continue after the last one.
-func (q *request) relay(plan dispatch.Plan, id uint64, resp *upstream.Response, a Answer) verdict {
+func (q *request) relay(watch *watch, plan dispatch.Plan, id uint64, resp *upstream.Response, a Answer) verdict {
 	if !q.started {
 		q.stream.version = a.Version
 	}
 	reader := bufio.NewReaderSize(resp, streamBuffer)
-	stall := max(minStall, stallPauses*q.route.PauseTarget)
 	first := true
 	for {
-		resp.StallAfter(q.waitForEvent(plan, first, stall))
 		event, err := readEvent(reader)
 		if err != nil {
-			return q.streamEnded(plan, id, resp, event, err)
+			return q.streamEnded(watch, plan, id, resp, event)
 		}
+		watch.progress()
 		if first {
 			first = false
 			q.h.Scheduler.First(id)
@@ -65,16 +63,6 @@
 
 const streamBuffer = 4 << 10 // bytes; an event takes about 100
 
-func (q *request) waitForEvent(plan dispatch.Plan, first bool, stall time.Duration) time.Duration {
-	if q.route.Repeat != routing.RunResumed {
-		return 0
-	}
-	if first {
-		return q.firstByteWithin(plan)
-	}
-	return stall
-}
-
 // readEvent returns the next event with the blank line that ends it. At the end of the stream it returns what is left.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
@@ -168,7 +156,9 @@
 func (q *request) flush() bool { return http.NewResponseController(q.w).Flush() == nil }
 
 // streamEnded handles the end of a server's stream; rest is what follows the last whole event.
-func (q *request) streamEnded(plan dispatch.Plan, id uint64, resp *upstream.Response, rest []byte, err error) verdict {
+func (q *request) streamEnded(
+	watch *watch, plan dispatch.Plan, id uint64, resp *upstream.Response, rest []byte,
+) verdict {
 	if resp.Whole() && len(bytes.TrimSpace(rest)) == 0 {
 		q.h.Scheduler.Finished(id)
 		q.startStream(resp)
@@ -183,7 +173,7 @@
 		}
 		return again
 	}
-	if isTimeout(err) {
+	if watch.stalled() {
 		return q.broken(plan, id, dispatch.FaultSilent, "stream stalled")
 	}
 	q.h.Suspects.Crashed(q.fingerprint, plan.Lead.ID)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -183,9 +183,6 @@
 	return n, err
 }
 
-// StallAfter bounds the wait for the next byte of the body; 0 leaves only the limit of the request.
-func (r *Response) StallAfter(d time.Duration) { r.conn.stallAfter(d) }
-
 // Whole reports whether the body was read to its end.
 func (r *Response) Whole() bool { return r.whole }
 
