Keep engines free for long prompts only as far as they are needed

Cause: short streams were packed on few engines also while no long prompt needed the others, so 12 to 17 in 100 came late in bursts of short prompts. The loss of opening an engine now follows the reading of long prompts over the last three seconds.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -30,6 +30,7 @@
 	services map[string]*service
 	jobs     map[uint64]*job
 	waiting  []*Work
+	readers  readLoads
 	timerAt  core.Micros
 	out      []Effect
 }
@@ -43,6 +44,7 @@
 func New(domain string) *Core {
 	return &Core{
 		domain: domain, servers: map[string]*server{}, services: map[string]*service{}, jobs: map[uint64]*job{},
+		readers: readLoads{},
 	}
 }
 
@@ -255,7 +257,9 @@
 	j.leadMemory = max(j.leadMemory, j.answer)
 	c.jobs[j.id] = j
 	if j.lead.model != nil && !j.writing {
-		cost := j.lead.model.ReadMs(j.prompt) / float64(len(readers))
+		whole := j.lead.model.ReadMs(j.prompt)
+		c.readers.add(now, j.service, j.pause, whole)
+		cost := whole / float64(len(readers))
 		for _, s := range readers {
 			s.dropReads(nil, now)
 			view := candidate{server: s, pass: s.passMs(), pending: s.pendingMs(now)}
--- /dev/null
+++ b/internal/dispatch/load.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
+
+// readLoads averages how many engines the reading of prompts keeps busy, by service and by the pauses that their
+// answers allow.
+type readLoads map[readClass]*readLoad
+
+type readClass struct {
+	service string
+	pause   core.Micros
+}
+
+type readLoad struct {
+	engines float64
+	at      core.Micros
+}
+
+func (l *readLoad) decay(now core.Micros) {
+	if now > l.at {
+		l.engines *= math.Exp(-float64(now-l.at) / float64(readMemory))
+		l.at = now
+	}
+}
+
+// add counts the reading of a prompt that takes one engine cost ms.
+func (r readLoads) add(now core.Micros, service string, pause core.Micros, cost float64) {
+	key := readClass{service, pause}
+	l := r[key]
+	if l == nil {
+		l = &readLoad{at: now}
+		r[key] = l
+	}
+	l.decay(now)
+	l.engines += cost / ms(readMemory)
+}
+
+// load returns how many engines are busy with prompts whose answers allow longer pauses.
+func (r readLoads) load(now core.Micros, service string, pause core.Micros) float64 {
+	sum := 0.0
+	for key, l := range r {
+		if key.service == service && key.pause > pause {
+			l.decay(now)
+			sum += l.engines
+		}
+	}
+	return sum
+}
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -20,8 +20,15 @@
 	answerWeight = 10
 	minWorth     = 0.3
 	// openEngineLoss is charged, as a share of a writer's worth, for the first writer with short pauses on an engine:
-	// an engine without such writers can read long prompts without making anything late.
-	openEngineLoss = 0.25
+	// an engine without such writers can read long prompts without making anything late. Less is charged while more
+	// such engines are free than long prompts need, down to minOpenShare once spareEngines more are.
+	openEngineLoss = 0.3
+	minOpenShare   = 0.05
+	spareEngines   = 3
+	// readHeadroom is how many engines are kept free for each engine that reads of long prompts keep busy on average.
+	readHeadroom = 1.4
+	// readMemory is the time over which the reading of long prompts is averaged.
+	readMemory = 3 * core.Second
 	// An engine that has more than queueMs left to read delays what comes after; queueLoss is charged for each
 	// millisecond beyond. An engine earns about four units of benefit a second.
 	queueMs   = 450
@@ -90,13 +97,35 @@
 }
 
 // opens returns the loss of putting the first writer with pauses as short as pause on the engine.
-func (c *candidate) opens(pause core.Micros, w float64) float64 {
+func (c *candidate) opens(pause core.Micros, w float64, demand float64) float64 {
+	if c.shares(pause) {
+		return 0
+	}
+	return openEngineLoss * w * demand
+}
+
+// shares reports whether the engine has a writer whose pauses must be at least as short.
+func (c *candidate) shares(pause core.Micros) bool {
 	for _, j := range c.jobs {
 		if j.pause <= pause {
-			return 0
+			return true
+		}
+	}
+	return false
+}
+
+// openDemand returns how much engines without writers of short pauses are needed for longer prompts: 1 if all are,
+// minOpenShare if enough are left over.
+func (c *Core) openDemand(now core.Micros, w *Work, list []*candidate) float64 {
+	free := -1.0
+	for _, s := range list {
+		if !s.shares(w.Pause) {
+			free++
 		}
 	}
-	return openEngineLoss * w
+	needed := readHeadroom * c.readers.load(now, w.Service, w.Pause)
+	spare := (free - needed) / spareEngines
+	return min(1, max(minOpenShare, 1-spare))
 }
 
 // option is a way to run a request.
@@ -112,11 +141,12 @@
 // engineOption returns the option with the least predicted loss, or nil if no engine can lead now.
 func (c *Core) engineOption(now core.Micros, w *Work, list []*candidate) *option {
 	var best *option
+	demand := c.openDemand(now, w, list)
 	for _, n := range readerCounts {
 		if n > len(list) {
 			break
 		}
-		if o := c.withReaders(now, w, list, n); o != nil && (best == nil || o.loss < best.loss) {
+		if o := c.withReaders(now, w, list, n, demand); o != nil && (best == nil || o.loss < best.loss) {
 			best = o
 		}
 	}
@@ -124,18 +154,18 @@
 }
 
 // withReaders returns the best option in which n engines read the prompt.
-func (c *Core) withReaders(now core.Micros, w *Work, list []*candidate, n int) *option {
+func (c *Core) withReaders(now core.Micros, w *Work, list []*candidate, n int, demand float64) *option {
 	model := list[0].model
 	cost := model.ReadMs(w.Prompt) / float64(n)
 	value := worth(w.Prompt, w.Answer)
 	for _, s := range list {
 		s.harm = s.harmOf(now, cost*s.pace) + loadLoss*(s.pass+s.pending) + s.failureRate*value
 	}
-	lead := c.bestLead(w, list, value)
+	lead := c.bestLead(w, list, value, demand)
 	if lead == nil {
 		return nil
 	}
-	o := &option{lead: lead, costMs: cost, loss: lead.harm + lead.opens(w.Pause, value) + c.domainLoss(lead.server)}
+	o := &option{lead: lead, costMs: cost, loss: lead.harm + lead.opens(w.Pause, value, demand) + c.domainLoss(lead.server)}
 	o.helpers = bestHelpers(list, lead, n-1)
 	if len(o.helpers) < n-1 {
 		return nil
@@ -157,7 +187,7 @@
 }
 
 // bestLead returns the engine with the least loss that has a slot and memory for the whole request.
-func (c *Core) bestLead(w *Work, list []*candidate, value float64) *candidate {
+func (c *Core) bestLead(w *Work, list []*candidate, value, demand float64) *candidate {
 	need := w.Prompt + w.Answer
 	var best *candidate
 	bestLoss := 0.0
@@ -165,7 +195,7 @@
 		if s.freeSlots() <= 0 || s.freeMemory() < need {
 			continue
 		}
-		loss := s.harm + s.opens(w.Pause, value) + c.domainLoss(s.server)
+		loss := s.harm + s.opens(w.Pause, value, demand) + c.domainLoss(s.server)
 		if best == nil || loss < bestLoss {
 			best, bestLoss = s, loss
 		}
