Weigh long prompts by engine time, and wait only for what passes

Cause: prompts were valued in proportion to their length, though users value them faster than that, and a request also waited for losses that waiting does not lower (opening an engine, failure rates). A daemon greets a new neighbour at once, and a request that has crashed three servers is not sent again within its own attempts either. The queue of an engine is charged by the benefit of the requests that run, so that an idle fleet reads any prompt.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -11,8 +11,10 @@
 const (
 	// lookAgain is how often waiting requests are looked at; a pass of an engine lasts at least twice as long.
 	lookAgain = 15 * core.Millisecond
-	// tolerableLoss is the share of its benefit for which a request is not held back any longer.
+	// A request waits for a better choice of engines while the loss exceeds this share of its benefit: tolerableLoss when
+	// it arrives, growing by patientLoss with the square of the time that it can wait.
 	tolerableLoss = 0.02
+	patientLoss   = 0.3
 	// refuseAfter is the share of a caller's patience after which a request that found no server is refused.
 	refuseAfter = 0.25
 	// retryAfter is when a refused caller should come back; a burst of long prompts drains in about a second.
@@ -44,7 +46,6 @@
 func New(domain string) *Core {
 	return &Core{
 		domain: domain, servers: map[string]*server{}, services: map[string]*service{}, jobs: map[uint64]*job{},
-		readers: readLoads{},
 	}
 }
 
@@ -293,8 +294,11 @@
 		return true
 	}
 	o := c.bestOption(now, w, svc)
+	reason := "all servers of the service are full or away"
 	if o != nil && svc.Model != nil && o.loss >= worth(w.Prompt, w.Answer) {
-		o = nil // others would lose more than this request can earn
+		reason = fmt.Sprintf("other requests would lose more than this one can earn: %.1f of %.1f, %d engines, first event in %.0f ms",
+			o.loss, worth(w.Prompt, w.Answer), 1+len(o.helpers), o.firstMs)
+		o = nil
 	}
 	if o != nil && (svc.Model == nil || !c.shouldWait(now, w, o)) {
 		c.assign(now, w, o)
@@ -302,7 +306,7 @@
 	}
 	patience := min(w.GiveUp, w.Deadline) - w.Arrived
 	if o == nil && now-w.Arrived > core.Micros(float64(patience)*refuseAfter) {
-		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: "all servers of the service are full or away"})
+		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
 		return true
 	}
 	return false
@@ -328,11 +332,12 @@
 // candidates lists the servers that may get the request; suspects only if there is no other.
 func (c *Core) candidates(now core.Micros, w *Work, svc *service) []*candidate {
 	var good, suspects []*candidate
+	charge := queueCharge(svc)
 	for _, s := range svc.servers {
 		if s.Leaving || slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
-		view := &candidate{server: s}
+		view := &candidate{server: s, queueLoss: charge}
 		if svc.Model != nil {
 			s.dropReads(nil, now)
 			view.pass, view.pending = s.passMs(), s.pendingMs(now)
@@ -349,22 +354,40 @@
 	return suspects
 }
 
-// shouldWait reports whether a request loses nothing by waiting for a better option.
+// queueCharge returns the loss for each millisecond that the queue of an engine is too long.
+func queueCharge(svc *service) float64 {
+	stake := 0.0
+	for _, s := range svc.servers {
+		stake += s.stake
+	}
+	return queueLoss * min(1, stake/float64(len(svc.servers))/fullStake)
+}
+
+// shouldWait reports whether a request should wait for a better option.
 func (c *Core) shouldWait(now core.Micros, w *Work, o *option) bool {
 	value := worth(w.Prompt, w.Answer)
-	if o.loss <= tolerableLoss*value {
+	next := micros(o.firstMs/surelyOnTime) + lookAgain
+	if o.passing <= acceptable(now-w.Arrived, w.FirstBy-next-w.Arrived)*value {
 		return false
 	}
-	next := micros(o.firstMs/surelyOnTime) + lookAgain
 	if now+next < w.FirstBy {
 		return true
 	}
 	late := now+micros(o.firstMs) > w.FirstBy
-	others := o.loss - value*ownLateness(now, w, o.firstMs)
+	others := o.passing - value*ownLateness(now, w, o.firstMs)
 	canStay := now+next < w.Arrived+core.Micros(float64(w.GiveUp-w.Arrived)*surelyOnTime)
 	return late && canStay && others > lateJobShare*(1-lateLoss)*value
 }
 
+// acceptable returns the share of its benefit that a request may cost after it has waited, when it could wait for slack.
+func acceptable(waited, slack core.Micros) float64 {
+	if slack <= waited {
+		return tolerableLoss + patientLoss
+	}
+	x := float64(waited) / float64(slack)
+	return tolerableLoss + patientLoss*x*x
+}
+
 func (c *Core) assign(now core.Micros, w *Work, o *option) {
 	j := &job{
 		id: w.ID, service: w.Service, lead: o.lead.server, prompt: w.Prompt, answer: w.Answer, pause: w.Pause,
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -8,14 +8,11 @@
 
 // readLoads averages how many engines the reading of prompts keeps busy, by service and by the pauses that their
 // answers allow.
-type readLoads map[readClass]*readLoad
+type readLoads []*readLoad
 
-type readClass struct {
+type readLoad struct {
 	service string
 	pause   core.Micros
-}
-
-type readLoad struct {
 	engines float64
 	at      core.Micros
 }
@@ -28,22 +25,22 @@
 }
 
 // add counts the reading of a prompt that takes one engine cost ms.
-func (r readLoads) add(now core.Micros, service string, pause core.Micros, cost float64) {
-	key := readClass{service, pause}
-	l := r[key]
-	if l == nil {
-		l = &readLoad{at: now}
-		r[key] = l
+func (r *readLoads) add(now core.Micros, service string, pause core.Micros, cost float64) {
+	for _, l := range *r {
+		if l.service == service && l.pause == pause {
+			l.decay(now)
+			l.engines += cost / ms(readMemory)
+			return
+		}
 	}
-	l.decay(now)
-	l.engines += cost / ms(readMemory)
+	*r = append(*r, &readLoad{service: service, pause: pause, engines: cost / ms(readMemory), at: now})
 }
 
 // load returns how many engines are busy with prompts whose answers allow longer pauses.
 func (r readLoads) load(now core.Micros, service string, pause core.Micros) float64 {
 	sum := 0.0
-	for key, l := range r {
-		if key.service == service && key.pause > pause {
+	for _, l := range r {
+		if l.service == service && l.pause > pause {
 			l.decay(now)
 			sum += l.engines
 		}
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -83,14 +83,16 @@
 	value := worth(w.Prompt, w.Answer)
 	cost := o.lead.model.ReadMs(w.Prompt) / float64(len(base)+extra)
 	for _, s := range rest {
-		s.harm = s.harmOf(now, cost*s.pace) + loadLoss*(s.pass+s.pending) + s.failureRate*value
+		s.harm = s.harmOf(now, cost*s.pace)
+		s.loss = s.harm + loadLoss*(s.pass+s.pending) + s.failureRate*value
 	}
-	slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.harm, b.harm) })
+	slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.loss, b.loss) })
 	trial := option{lead: o.lead, holds: o.holds, costMs: cost, helpers: slices.Clone(rest[:extra])}
 	for _, s := range append(slices.Clone(base), trial.helpers...) {
 		trial.firstMs = max(trial.firstMs, s.finishMs(cost*s.pace))
 		trial.loss += s.harmOf(now, cost*s.pace) + helperRisk*value
 	}
 	trial.loss += value * ownLateness(now, w, trial.firstMs)
+	trial.passing = trial.loss
 	return trial
 }
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/carobstile/carobstile/internal/core"
@@ -14,11 +15,16 @@
 	// between them the probability grows linearly. The band covers the unknown position inside the current pass.
 	surelyOnTime  = 0.75
 	certainlyLate = 1.15
-	// worthTokens is how many tokens (prompt, and answer times answerWeight) are worth one unit of benefit. Only the
-	// ratio between requests matters.
-	worthTokens  = 20_000
-	answerWeight = 10
-	minWorth     = 0.3
+	// A request of worthTokens tokens (the prompt, and answerWeight times the answer) is worth one unit of benefit. Only
+	// the ratio between requests matters. Up to longTokens the benefit grows faster than the length, as the engine time
+	// does; users state 1.3, 4.2 and 21 for mean lengths of 22,000, 55,000 and 162,000. Beyond it grows linearly, as it
+	// does among requests of one kind.
+	worthTokens   = 20_000
+	answerWeight  = 10
+	worthExponent = 1.375
+	longTokens    = 160_000
+	longBase      = 0.3
+	minWorth      = 0.3
 	// openEngineLoss is charged, as a share of a writer's worth, for the first writer with short pauses on an engine:
 	// an engine without such writers can read long prompts without making anything late. Less is charged while more
 	// such engines are free than long prompts need, down to minOpenShare once spareEngines more are.
@@ -29,10 +35,12 @@
 	readHeadroom = 1.4
 	// readMemory is the time over which the reading of long prompts is averaged.
 	readMemory = 3 * core.Second
-	// An engine that has more than queueMs left to read delays what comes after; queueLoss is charged for each
-	// millisecond beyond. An engine earns about four units of benefit a second.
+	// An engine that has more than queueMs left to read delays what comes after. queueLoss is charged for each
+	// millisecond beyond, since an engine earns about four units of benefit a second; less is charged while the
+	// requests that run are worth less than fullStake an engine.
 	queueMs   = 450
-	queueLoss = 0.004
+	queueLoss = 0.006
+	fullStake = 3
 	// helperRisk is the probability that a helping engine fails while it reads, which ends the whole request.
 	helperRisk = 0.0005
 	// loadLoss breaks ties in favour of engines with less to do, per millisecond.
@@ -46,7 +54,12 @@
 
 // worth estimates the benefit of a request by its size.
 func worth(prompt, answer int) float64 {
-	return max(minWorth, float64(prompt+answerWeight*answer)/worthTokens)
+	size := float64(prompt + answerWeight*answer)
+	w := math.Pow(min(size, longTokens)/worthTokens, worthExponent)
+	if size > longTokens {
+		w *= longBase + (1-longBase)*size/longTokens
+	}
+	return max(minWorth, w)
 }
 
 // lateProbability returns how probably something predicted to take took is later than target.
@@ -66,14 +79,18 @@
 type candidate struct {
 	*server
 	pass, pending float64 // ms
-	harm          float64
+	// queueLoss is the loss for each millisecond that the engine's queue is too long.
+	queueLoss float64
+	harm      float64
+	// loss is the harm and what else speaks against the engine.
+	loss float64
 }
 
 // harmOf predicts what the requests on a server lose if it reads cost more milliseconds.
 func (c *candidate) harmOf(now core.Micros, cost float64) float64 {
 	before := c.pass + c.pending
 	after := before + cost
-	loss := queueLoss * (max(0, c.pending+cost-queueMs) - max(0, c.pending-queueMs))
+	loss := c.queueLoss * (max(0, c.pending+cost-queueMs) - max(0, c.pending-queueMs))
 	for _, j := range c.jobs {
 		if j.late {
 			continue
@@ -136,6 +153,8 @@
 	costMs  float64 // of each part
 	firstMs float64
 	loss    float64
+	// passing is the part of the loss that may be less a little later.
+	passing float64
 }
 
 // engineOption returns the option with the least predicted loss, or nil if no engine can lead now.
@@ -159,13 +178,15 @@
 	cost := model.ReadMs(w.Prompt) / float64(n)
 	value := worth(w.Prompt, w.Answer)
 	for _, s := range list {
-		s.harm = s.harmOf(now, cost*s.pace) + loadLoss*(s.pass+s.pending) + s.failureRate*value
+		s.harm = s.harmOf(now, cost*s.pace)
+		s.loss = s.harm + loadLoss*(s.pass+s.pending) + s.failureRate*value
 	}
 	lead := c.bestLead(w, list, value, demand)
 	if lead == nil {
 		return nil
 	}
-	o := &option{lead: lead, costMs: cost, loss: lead.harm + lead.opens(w.Pause, value, demand) + c.domainLoss(lead.server)}
+	o := &option{lead: lead, costMs: cost, passing: lead.harm}
+	o.loss = lead.loss + lead.opens(w.Pause, value, demand) + c.domainLoss(lead.server)
 	o.helpers = bestHelpers(list, lead, n-1)
 	if len(o.helpers) < n-1 {
 		return nil
@@ -173,9 +194,12 @@
 	o.firstMs = lead.finishMs(cost * lead.pace)
 	for _, h := range o.helpers {
 		o.firstMs = max(o.firstMs, h.finishMs(cost*h.pace))
-		o.loss += h.harm + helperRisk*value
+		o.passing += h.harm
+		o.loss += h.loss + helperRisk*value
 	}
-	o.loss += value * ownLateness(now, w, o.firstMs)
+	late := value * ownLateness(now, w, o.firstMs)
+	o.passing += late
+	o.loss += late
 	return o
 }
 
@@ -195,7 +219,7 @@
 		if s.freeSlots() <= 0 || s.freeMemory() < need {
 			continue
 		}
-		loss := s.harm + s.opens(w.Pause, value, demand) + c.domainLoss(s.server)
+		loss := s.loss + s.opens(w.Pause, value, demand) + c.domainLoss(s.server)
 		if best == nil || loss < bestLoss {
 			best, bestLoss = s, loss
 		}
@@ -216,6 +240,6 @@
 		return nil
 	}
 	others := slices.DeleteFunc(slices.Clone(list), func(s *candidate) bool { return s == lead })
-	slices.SortStableFunc(others, func(a, b *candidate) int { return cmp.Compare(a.harm, b.harm) })
+	slices.SortStableFunc(others, func(a, b *candidate) int { return cmp.Compare(a.loss, b.loss) })
 	return others[:min(n, len(others))]
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -57,6 +57,7 @@
 	jobs          []*job
 	contextTokens int
 	memoryTokens  int
+	stake         float64 // benefit of the jobs
 	reads         []read
 	pace          float64
 	suspectUntil  core.Micros
@@ -72,6 +73,7 @@
 	s.jobs = append(s.jobs, j)
 	s.contextTokens += j.leadMemory
 	s.memoryTokens += j.leadMemory
+	s.stake += j.worth
 	for _, h := range j.holds {
 		h.server.memoryTokens += h.tokens
 	}
@@ -85,6 +87,7 @@
 	s.jobs = slices.Delete(s.jobs, i, i+1)
 	s.contextTokens -= j.leadMemory
 	s.memoryTokens -= j.leadMemory
+	s.stake -= j.worth
 	for _, h := range j.holds {
 		h.server.memoryTokens -= h.tokens
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -78,6 +78,10 @@
 	if q.mayHaveRun && !q.route.Repeat.Repeatable() {
 		return false
 	}
+	if q.h.Suspects.Refused(q.fingerprint) {
+		q.reason = "request crashes the servers that run it"
+		return false
+	}
 	if q.sends >= max(1, q.route.Attempts) {
 		q.reason = "no attempts left"
 		return false
@@ -138,8 +142,8 @@
 	q.lastServer = plan.Lead.ID
 	q.h.Log.Debug("request placed", evlog.KeyRequest, q.ID, "route", q.route.Name, "prompt_tokens", q.Prompt,
 		"server", plan.Lead.ID, "helpers", len(plan.Helpers), "holds", len(plan.Holds), "loss", plan.Loss,
-		"waited_ms", (q.h.Now()-q.arrived).Duration().Milliseconds(),
-		"first_in_ms", (plan.First-q.h.Now()).Duration().Milliseconds())
+		"waited_ms", (q.h.Now() - q.arrived).Duration().Milliseconds(),
+		"first_in_ms", (plan.First - q.h.Now()).Duration().Milliseconds())
 	helpers, release, err := q.reserve(plan, id)
 	if err != nil {
 		q.h.Scheduler.Cancelled(id)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -236,5 +236,5 @@
 		level = slog.LevelInfo
 	}
 	q.h.Log.Log(context.Background(), level, "request ended", evlog.KeyRequest, q.ID, "route", route, "service", service,
-		"status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sends, "ms", took.Duration().Milliseconds())
+		"prompt_tokens", q.Prompt, "status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sends, "ms", took.Duration().Milliseconds())
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,7 +42,7 @@
 			first = false
 			q.h.Scheduler.First(id)
 			q.h.Log.Debug("first event", evlog.KeyRequest, q.ID, "server", plan.Lead.ID,
-				"predicted_off_ms", (q.h.Now()-plan.First).Duration().Milliseconds())
+				"predicted_off_ms", (q.h.Now() - plan.First).Duration().Milliseconds())
 		}
 		ok, err := q.pass(event, resp)
 		if err != nil {
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -132,6 +132,7 @@
 	n := l.neighbors[m.GetName()]
 	if n == nil {
 		l.neighbors[m.GetName()] = &neighbor{member: m, address: address, heard: time.Now(), away: true}
+		go l.greet(address)
 		return false
 	}
 	restarted := n.member.GetBoot() != m.GetBoot()
@@ -241,6 +242,16 @@
 	}
 }
 
+// greet makes this daemon known to one that was not known before.
+func (l *Link) greet(address netip.AddrPort) {
+	p := &carobstilev1.EdgePacket{Summary: true}
+	l.handler.Summary(p)
+	l.mu.Lock()
+	p.Sender = l.self
+	l.mu.Unlock()
+	l.sendOne(p, []netip.AddrPort{address})
+}
+
 // sendSummary tells the neighbours all that this daemon runs, and now and then also those that are away.
 func (l *Link) sendSummary() {
 	p := &carobstilev1.EdgePacket{Summary: true}
