Let engines queue 700 ms of reading before they count as overloaded

Cause: with 450 ms, prompts over 250,000 tokens were refused every time while all up to 200,000 were on time; their parts alone exceed that queue.

--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -38,7 +38,7 @@
 	// An engine that has more than queueMs left to read delays what comes after. queueLoss is charged for each
 	// millisecond beyond, since an engine earns about four units of benefit a second; less is charged while the
 	// requests that run are worth less than fullStake an engine.
-	queueMs   = 450
+	queueMs   = 700
 	queueLoss = 0.006
 	fullStake = 3
 	// helperRisk is the probability that a helping engine fails while it reads, which ends the whole request.
