--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/enginecost"
+	"github.com/carobstile/carobstile/internal/golden"
+)
+
+const second = core.Second
+
+// testModel is an engine of the users' first deployments.
+func testModel() *enginecost.Model {
+	return &enginecost.Model{
+		Slots: 16, KVTokens: 315_000, Stride: 51, StepMs: 0.85, PerSequenceMs: 0.00425, ContextMsPerK: 0.00285,
+		ReadTokensPerMs: 177, PairMsPerM: 0.184, ChunkTokens: 2048,
+	}
+}
+
+// fleet returns a core that knows n engines and m plain servers.
+func fleet(n, m int) *Core {
+	c := New("z1")
+	c.Step(fleetEvent(n, m))
+	return c
+}
+
+func fleetEvent(n, m int) ServersChanged {
+	ev := ServersChanged{Now: 1, Services: []Service{{Name: "llm", Model: testModel()}, {Name: "desk"}}}
+	for i := range n {
+		ev.Servers = append(ev.Servers, Server{
+			ID: fmt.Sprintf("e%02d", i), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "z1", Slots: 16,
+		})
+	}
+	for i := range m {
+		ev.Servers = append(ev.Servers, Server{
+			ID: fmt.Sprintf("p%02d", i), Service: "desk", Address: fmt.Sprintf("10.0.1.%d:1", i), Domain: "z1", Slots: 6,
+		})
+	}
+	return ev
+}
+
+func shortWork(id uint64, now core.Micros) Work {
+	return Work{
+		ID: id, Service: "llm", Prompt: 4960, Answer: 1680, Arrived: now, FirstBy: now + 300*core.Millisecond,
+		GiveUp: now + 2*second, Deadline: now + 10*second, Pause: 250 * core.Millisecond, Rank: 1,
+	}
+}
+
+func longWork(id uint64, now core.Micros, prompt int) Work {
+	return Work{
+		ID: id, Service: "llm", Prompt: prompt, Answer: 800, Arrived: now, FirstBy: now + 3*second,
+		GiveUp: now + 12*second, Deadline: now + 15*second, Pause: second, Rank: 1,
+	}
+}
+
+func plainWork(id uint64, now core.Micros) Work {
+	return Work{ID: id, Service: "desk", Arrived: now, FirstBy: now + second, GiveUp: now + second, Deadline: now + second}
+}
+
+// assigned returns the plan of the request among effects, or nil.
+func assigned(effects []Effect, id uint64) *Plan {
+	for _, e := range effects {
+		if a, ok := e.(Assign); ok && a.ID == id {
+			return &a.Plan
+		}
+	}
+	return nil
+}
+
+func refused(effects []Effect, id uint64) *Refuse {
+	for _, e := range effects {
+		if r, ok := e.(Refuse); ok && r.ID == id {
+			return &r
+		}
+	}
+	return nil
+}
+
+// Guards against work for servers that leave, are unknown or were excluded.
+func TestOnlyServersInServiceAreAssigned(t *testing.T) {
+	c := New("z1")
+	ev := fleetEvent(0, 3)
+	ev.Servers[0].Leaving = true
+	c.Step(ev)
+	w := plainWork(1, 10)
+	w.Exclude = []string{"p01"}
+	require.Equal(t, "p02", assigned(c.Step(Arrived{Now: 10, Work: w}), 1).Lead.ID)
+	w = plainWork(2, 10)
+	w.Service = "unknown"
+	require.NotNil(t, refused(c.Step(Arrived{Now: 10, Work: w}), 2))
+}
+
+// Guards against a prompt that is read by one engine alone though it would come late, and against parts on more engines
+// than needed.
+func TestReadersFollowTheTarget(t *testing.T) {
+	p := assigned(fleet(20, 0).Step(Arrived{Now: 10, Work: shortWork(1, 10)}), 1)
+	require.Empty(t, p.Helpers)
+	p = assigned(fleet(20, 0).Step(Arrived{Now: 10, Work: longWork(1, 10, 250_000)}), 1)
+	require.NotEmpty(t, p.Helpers)
+	require.Less(t, p.First, 3*second)
+	require.LessOrEqual(t, len(p.Helpers), maxHelpers)
+}
+
+// Guards against a long prompt that makes the short streams of an engine late while other engines are free.
+func TestLongPromptsAvoidShortStreams(t *testing.T) {
+	c := fleet(6, 0)
+	for i := range 8 {
+		id := uint64(100 + i)
+		require.NotNil(t, assigned(c.Step(Arrived{Now: 10, Work: shortWork(id, 10)}), id))
+		c.Step(FirstEvent{Now: 20, ID: id})
+	}
+	busy := map[string]bool{}
+	for _, j := range c.jobs {
+		busy[j.lead.ID] = true
+	}
+	require.Less(t, len(busy), 6, "short streams share engines")
+	p := assigned(c.Step(Arrived{Now: second, Work: longWork(1, second, 154_000)}), 1)
+	require.NotNil(t, p)
+	for _, s := range append([]Server{p.Lead}, p.Helpers...) {
+		require.False(t, busy[s.ID], "engine %s has short streams", s.ID)
+	}
+}
+
+// Guards against a prompt that costs others more than it earns and is still placed, and one that is held without an end.
+func TestOverloadRefusesInTime(t *testing.T) {
+	c := fleet(2, 0)
+	for i := range 24 {
+		id := uint64(100 + i)
+		c.Step(Arrived{Now: 10, Work: shortWork(id, 10)})
+		c.Step(FirstEvent{Now: 20, ID: id})
+	}
+	w := longWork(1, 30, 600_000)
+	require.Nil(t, assigned(c.Step(Arrived{Now: 30, Work: w}), 1))
+	effects := c.Step(Tick{Now: 30 + 4*second})
+	require.NotNil(t, refused(effects, 1))
+	require.Positive(t, refused(effects, 1).RetryAfter)
+}
+
+// Guards against a prompt over the memory of one engine that is never placed, or placed without enough memory.
+func TestHugePromptHoldsMemoryOnSeveralEngines(t *testing.T) {
+	p := assigned(fleet(20, 0).Step(Arrived{Now: 10, Work: longWork(1, 10, 400_000)}), 1)
+	require.NotNil(t, p)
+	held := 0
+	for _, h := range p.Holds {
+		held += h.Tokens
+	}
+	free := 0.95 * 315_000.0
+	require.GreaterOrEqual(t, float64(held)+free, 400_800.0)
+	require.Len(t, p.Holds, 1)
+	require.Equal(t, p.Holds[0].Server, p.Helpers[0].ID, "holders come first, in the order in which they are filled")
+}
+
+// Guards against slots or memory that are lost when jobs end, are lost with a neighbour, or expire.
+func TestCommitmentsAreGivenBack(t *testing.T) {
+	c := fleet(4, 0)
+	c.Step(Arrived{Now: 10, Work: longWork(1, 10, 400_000)})
+	c.Step(Arrived{Now: 10, Work: shortWork(2, 10)})
+	told := Job{ID: 3, Service: "llm", Lead: "e00", Helpers: []string{"e01"}, Prompt: 100_000, Answer: 800, EndIn: second}
+	c.Step(PeerPlaced{Now: 11, Peer: "b", Job: told})
+	told.ID = 4
+	c.Step(PeerPlaced{Now: 11, Peer: "b", Job: told})
+	told.ID = 5
+	c.Step(PeerPlaced{Now: 11, Peer: "c", Job: told})
+	told.ID = 6
+	c.Step(PeerPlaced{Now: 11, Peer: "d", Job: told})
+	c.Step(Finished{Now: 20, ID: 1})
+	c.Step(Cancelled{Now: 20, ID: 2})
+	c.Step(PeerHolds{Now: 20, Peer: "b", IDs: []uint64{4}})
+	require.Contains(t, c.jobs, uint64(4))
+	require.NotContains(t, c.jobs, uint64(3))
+	c.Step(PeerEnded{Now: 20, ID: 4})
+	c.Step(PeerLost{Now: 20, Peer: "c"})
+	c.Step(Tick{Now: 3 * second})
+	requireEmpty(t, c)
+}
+
+func requireEmpty(t require.TestingT, c *Core) {
+	require.Empty(t, c.jobs)
+	for _, s := range c.services["llm"].servers {
+		require.Empty(t, s.jobs, s.ID)
+		require.Zero(t, s.memoryTokens, s.ID)
+		require.Zero(t, s.contextTokens, s.ID)
+		require.InDelta(t, 0, s.stake, 1e-6, s.ID)
+		require.Empty(t, s.reads, s.ID)
+	}
+}
+
+// Guards against a server that failed and still gets work while others are sound, and against one that is never tried
+// again.
+func TestSuspectsRecover(t *testing.T) {
+	c := fleet(0, 2)
+	c.Step(ServerFailed{Now: 10, Server: "p00", Fault: FaultUnreachable})
+	for i := range 4 {
+		id := uint64(1 + i)
+		require.Equal(t, "p01", assigned(c.Step(Arrived{Now: 20, Work: plainWork(id, 20)}), id).Lead.ID)
+	}
+	require.True(t, c.Suspect(20, "p00"))
+	require.False(t, c.Suspect(10+suspicion, "p00"))
+	c.Step(ServerFailed{Now: second, Server: "p00", Fault: FaultSilent})
+	c.Step(ServerAlive{Now: second, Server: "p00", Reached: true})
+	require.False(t, c.Suspect(second, "p00"))
+}
+
+// Guards against a neighbour's commitment that is ignored, so that both choose the same slots.
+func TestNeighboursCommitmentsCount(t *testing.T) {
+	c := fleet(0, 2)
+	for i := range 6 {
+		c.Step(PeerPlaced{Now: 10, Peer: "b", Job: Job{ID: uint64(10 + i), Service: "desk", Lead: "p00", EndIn: second}})
+	}
+	require.Equal(t, "p01", assigned(c.Step(Arrived{Now: 20, Work: plainWork(1, 20)}), 1).Lead.ID)
+}
+
+// Guards against a process with the id of an earlier one that inherits its jobs.
+func TestServerBornAgainIsEmpty(t *testing.T) {
+	c := fleet(1, 0)
+	c.Step(Arrived{Now: 10, Work: shortWork(1, 10)})
+	ev := fleetEvent(1, 0)
+	ev.Servers[0].Born = 7
+	c.Step(ev)
+	require.Empty(t, c.servers["e00"].jobs)
+	c.Step(Finished{Now: 20, ID: 1})
+	requireEmpty(t, c)
+}
+
+func codec() *golden.Codec {
+	return golden.NewCodec(
+		ServersChanged{}, Arrived{}, Cancelled{}, FirstEvent{}, Finished{}, ServerFailed{}, ServerAlive{}, PeerPlaced{},
+		PeerFirst{}, PeerEnded{}, PeerHolds{}, PeerLost{}, Tick{}, Assign{}, Refuse{}, Announce{}, AnnounceFirst{},
+		AnnounceEnd{}, SetTimer{},
+	)
+}
+
+// Guards against any change of what dispatch does in the recorded sessions.
+func TestSessions(t *testing.T) {
+	golden.Check(t, "testdata/*.session", codec(), func(string) func(any) []any {
+		c := New("z1")
+		return func(event any) []any {
+			var out []any
+			for _, effect := range c.Step(event.(Event)) {
+				out = append(out, effect)
+			}
+			return out
+		}
+	})
+}
--- /dev/null
+++ b/internal/edge/servers_test.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/directory"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/platform"
+)
+
+// fakeCodec decodes servers from their JSON.
+type fakeCodec struct{ Codec }
+
+func (fakeCodec) Server(name string, value []byte) (dispatch.Server, error) {
+	var s dispatch.Server
+	if err := json.Unmarshal(value, &s); err != nil {
+		return s, errors.Wrap(err, name)
+	}
+	s.ID = name
+	return s, nil
+}
+
+func serversImage(t *testing.T, names ...string) directory.Image {
+	out := directory.Image{Kind: KindServers, Revision: 1, Objects: map[string]platform.Object{}}
+	for _, name := range names {
+		value, err := json.Marshal(dispatch.Server{Service: "s", Address: name + ":1", Slots: 1})
+		require.NoError(t, err)
+		out.Objects[name] = platform.Object{Name: name, Version: 1, Value: value}
+	}
+	return out
+}
+
+func ids(l *serverList) []string {
+	var out []string
+	for _, s := range l.list() {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+// Guards against a single server that has left and still gets work.
+func TestServerWithoutEntryIsDropped(t *testing.T) {
+	l, now := newServerList(fakeCodec{}, evlog.Discard()), time.Now()
+	l.update(now, serversImage(t, "a", "b", "c", "d"), false)
+	l.update(now, serversImage(t, "a", "b", "c"), false)
+	require.Equal(t, []string{"a", "b", "c"}, ids(l))
+}
+
+// Guards against an outage of the store that empties the list, and against entries that never come back but are used
+// for longer than the platform allows, however often images arrive meanwhile.
+func TestLapsedEntriesAreUsedForAWhile(t *testing.T) {
+	for _, outage := range []bool{true, false} {
+		l, now := newServerList(fakeCodec{}, evlog.Discard()), time.Now()
+		l.update(now, serversImage(t, "a", "b", "c", "d"), false)
+		l.update(now, serversImage(t), outage)
+		require.Len(t, ids(l), 4)
+		l.update(now.Add(time.Second), serversImage(t, "b"), true)
+		l.update(now.Add(lapseGrace-time.Millisecond), serversImage(t, "b"), true)
+		require.Len(t, ids(l), 4)
+		require.True(t, l.expire(now.Add(lapseGrace)))
+		require.Equal(t, []string{"b"}, ids(l))
+		l.update(now.Add(2*lapseGrace), serversImage(t, "b"), true)
+		require.Equal(t, []string{"b"}, ids(l))
+	}
+}
+
+// Guards against an entry that cannot be read and hides the others.
+func TestUnreadableEntriesAreLeftOut(t *testing.T) {
+	l := newServerList(fakeCodec{}, evlog.Discard())
+	image := serversImage(t, "a")
+	image.Objects["junk"] = platform.Object{Name: "junk", Version: 2, Value: []byte("{")}
+	l.update(time.Now(), image, false)
+	require.Equal(t, []string{"a"}, ids(l))
+}
