Divide large deployments into cells, and compare what daemons know by content

Cause: each daemon told all others everything, 15 ms after it happened, and fetched a neighbour's copy of the servers whenever its revision differed, which at 65 daemons means thousands of datagrams a second. Daemons and servers are divided into cells of at most 80 daemons; delays grow with the cell; copies are compared by a digest.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,9 +7,11 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/platform"
@@ -51,6 +53,16 @@
 	Objects  map[string]platform.Object
 }
 
+// Digest is a hash of the names and versions of the objects. Two daemons that know the same objects have the same
+// digest, whatever revisions their calls returned.
+func (i Image) Digest() uint64 {
+	sum := uint64(0)
+	for name, o := range i.Objects {
+		sum += xxhash.Sum64String(name + "/" + strconv.FormatUint(o.Version, 10))
+	}
+	return sum
+}
+
 // apply returns the image after changes.
 func (i Image) apply(w platform.Watch) Image {
 	out := Image{Kind: i.Kind, Revision: max(i.Revision, w.Revision), Objects: i.Objects}
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -46,7 +46,7 @@
 	// loadLoss breaks ties in favour of engines with less to do, per millisecond.
 	loadLoss = 0.00002
 	// otherDomainLoss is charged for a server in another failure domain; bytes between domains cost money.
-	otherDomainLoss = 0.004
+	otherDomainLoss = 0.01
 )
 
 // readerCounts are the numbers of engines tried for one prompt; a request names at most 16 helpers.
--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -20,6 +20,8 @@
 // Store is the platform's store.
 type Store interface {
 	directory.Source
+	// ListStale is List at a tenth of the price; what it returns may be seconds old.
+	ListStale(ctx context.Context, kind string) (directory.Image, error)
 	// Announce writes what other daemons need to find this one. Withdraw removes it.
 	Announce(ctx context.Context, name string, value []byte) error
 	Withdraw(ctx context.Context, name string) error
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/app"
 	"github.com/carobstile/carobstile/internal/core"
@@ -35,8 +33,6 @@
 	crashLimit = 3
 	// unknownDaemons is among how many daemons budgets are divided before any neighbour is known.
 	unknownDaemons = 16
-	// announceRetry is the pause between tries to write the own entry.
-	announceRetry = 2 * time.Second
 	// housekeepEvery is how often idle connections and lapsed entries are looked at.
 	housekeepEvery = 250 * time.Millisecond
 )
@@ -64,8 +60,9 @@
 	paces     map[string]float64
 	haveList  bool
 
-	// serversRevision is the revision of the last change of the servers that this daemon knows.
-	serversRevision atomic.Uint64
+	// serversRevision is the revision of the last change of the servers that this daemon knows, serversDigest the digest
+	// of their entries.
+	serversRevision, serversDigest atomic.Uint64
 	// joined is set when a neighbour needs a whole summary.
 	joined   atomic.Bool
 	fetching atomic.Bool
@@ -91,8 +88,8 @@
 	}
 	d.link = link
 	d.scheduler.tell = link.Tell
-	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, link.Sharing, d.configChanged)
-	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, link.Sharing, d.entriesChanged)
+	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, link.Known, d.configChanged)
+	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, link.Known, d.entriesChanged)
 	d.handler = &forward.Handler{
 		Dialect: a.Codec, Scheduler: d.scheduler, Budget: d.budget, Suspects: (*suspects)(d), Pool: d.pool,
 		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
@@ -116,52 +113,13 @@
 		return err
 	}
 	for _, f := range []func(context.Context){
-		d.config.Run, d.entries.Run, d.link.Run, d.join, d.pollReports, d.housekeep, d.fetchAtStart,
+		d.config.Run, d.entries.Run, d.link.Run, d.keepMembers, d.pollReports, d.housekeep, d.fetchAtStart,
 	} {
 		env.Background(f)
 	}
 	return nil
 }
 
-// join writes the own entry and greets the daemons that the store lists.
-func (d *Daemon) join(ctx context.Context) {
-	for {
-		err := d.announce(ctx)
-		if err == nil {
-			return
-		}
-		d.log.Warn("own entry not written", "err", err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(announceRetry):
-		}
-	}
-}
-
-func (d *Daemon) announce(ctx context.Context) error {
-	value, err := json.Marshal(d.self())
-	if err != nil {
-		return errors.Wrap(err, "own entry")
-	}
-	if err := d.adapter.Store.Announce(ctx, d.settings.Name, value); err != nil {
-		return err
-	}
-	image, err := d.adapter.Store.List(ctx, KindDaemons)
-	if err != nil {
-		return err
-	}
-	for name, o := range image.Objects {
-		m := &carobstilev1.EdgeMember{}
-		if err := json.Unmarshal(o.Value, m); err != nil {
-			d.log.Warn("entry names no daemon", "daemon", name, "err", err)
-			continue
-		}
-		d.link.Meet(m)
-	}
-	return nil
-}
-
 // configChanged puts a newer configuration in force.
 func (d *Daemon) configChanged(image directory.Image, _ bool) {
 	o, ok := image.Objects[d.adapter.Codec.ConfigName()]
@@ -198,6 +156,7 @@
 	d.haveList = true
 	d.serversMu.Unlock()
 	d.serversRevision.Store(image.Revision)
+	d.serversDigest.Store(image.Digest())
 	d.updateServers()
 	d.link.Tell(true, func(p *carobstilev1.EdgePacket) { d.versions(p) })
 }
@@ -209,7 +168,7 @@
 		return
 	}
 	d.serversMu.Lock()
-	list := d.servers.list()
+	list := slices.DeleteFunc(d.servers.list(), func(s dispatch.Server) bool { return !d.link.InCell(s.ID) })
 	d.serversMu.Unlock()
 	services := make([]dispatch.Service, 0, len(table.Services))
 	for i := range table.Services {
@@ -231,10 +190,10 @@
 		d.serversMu.Lock()
 		dropped := d.servers.expire(time.Now())
 		d.serversMu.Unlock()
-		if dropped {
+		if dropped || d.link.CellChanged() {
 			d.updateServers()
 		}
-		d.budget.SetDaemons(d.link.Sharing())
+		d.budget.SetDaemons(d.link.Known())
 		d.pool.Retain(func(t upstream.Target) bool {
 			address, ok := d.addressOf(t.ID)
 			return ok && address == t.Address
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -57,7 +57,8 @@
 func (d *Daemon) behind(p *carobstilev1.EdgePacket) bool {
 	mine := &carobstilev1.EdgePacket{}
 	d.versions(mine)
-	return p.GetConfigVersion() > mine.GetConfigVersion() || p.GetServersRevision() > mine.GetServersRevision()
+	return p.GetConfigVersion() > mine.GetConfigVersion() ||
+		p.GetServersRevision() > mine.GetServersRevision() && p.GetServersDigest() != mine.GetServersDigest()
 }
 
 // versions fills in what this daemon knows of the store.
@@ -65,7 +66,7 @@
 	if table := d.table.Load(); table != nil {
 		p.ConfigVersion = table.Version
 	}
-	p.ServersRevision = d.serversRevision.Load()
+	p.ServersRevision, p.ServersDigest = d.serversRevision.Load(), d.serversDigest.Load()
 }
 
 // Summary implements neighbors.Handler.
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -6,7 +6,6 @@
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/dispatch"
-	"github.com/carobstile/carobstile/internal/rendezvous"
 	"github.com/carobstile/carobstile/internal/shell"
 )
 
@@ -22,9 +21,8 @@
 // pollReports asks the engines of which this daemon takes care.
 func (d *Daemon) pollReports(ctx context.Context) {
 	shell.Every(ctx, reportEvery, func(ctx context.Context) {
-		live := d.link.Live()
 		for _, s := range d.engines() {
-			if rendezvous.Top(s.ID, live, 1)[0] == d.settings.Name {
+			if d.cares(s.ID) {
 				go d.pollReport(ctx, s)
 			}
 		}
@@ -38,7 +36,7 @@
 	defer d.serversMu.Unlock()
 	var out []dispatch.Server
 	for _, s := range d.servers.list() {
-		if table == nil || s.Leaving {
+		if table == nil || s.Leaving || !d.link.InCell(s.ID) {
 			continue
 		}
 		if service := table.Service(s.Service); service != nil && service.Engine != nil {
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -19,17 +20,25 @@
 )
 
 const (
-	// summaryEvery is how often all that a daemon runs is told again.
-	summaryEvery = 500 * time.Millisecond
+	// summaryEvery is how often all that a daemon runs is told again, in cells of up to smallCell daemons. In larger ones
+	// summaries are rarer, as each daemon hears all of them.
+	summaryEvery     = 500 * time.Millisecond
+	rareSummaryEvery = time.Second
+	smallCell        = 16
 	// urgentDelay gathers placements that are decided together; the choice of a neighbour a few milliseconds later
 	// should know of them.
 	urgentDelay = time.Millisecond
-	// relaxedDelay gathers ends and first events, which only free what was counted.
-	relaxedDelay = 15 * time.Millisecond
+	// relaxedDelay gathers ends and first events, which only free what was counted; it is multiplied by the number of
+	// neighbours, up to maxRelaxed.
+	relaxedDelay = 3 * time.Millisecond
+	maxRelaxed   = 200 * time.Millisecond
 	// silentAfter is how long a neighbour may say nothing before it counts as away.
-	silentAfter = 2 * time.Second
+	silentAfter = 2500 * time.Millisecond
 	// forgetAfter is how long a daemon that is away still counts among those that share budgets.
-	forgetAfter = 15 * time.Second
+	forgetAfter = 60 * time.Second
+	// maxCell is how many daemons exchange hints with one another. Larger deployments are divided into cells of daemons
+	// and backend servers, so that what a daemon hears and keeps does not grow with the deployment.
+	maxCell = 80
 	// probeAwayEvery is how many summaries pass between two that also go to daemons that are away.
 	probeAwayEvery = 4
 	// maxPacket bounds a datagram, in bytes; larger ones are split by number of jobs.
@@ -70,6 +79,7 @@
 	timer     *time.Timer
 	due       time.Time
 	summaries int
+	divided   uint64 // number of cells at the last call of CellChanged
 }
 
 // Listen opens the address of self for datagrams.
@@ -132,7 +142,9 @@
 	n := l.neighbors[m.GetName()]
 	if n == nil {
 		l.neighbors[m.GetName()] = &neighbor{member: m, address: address, heard: time.Now(), away: true}
-		go l.greet(address)
+		if l.inCell(m.GetName()) {
+			go l.greet(address)
+		}
 		return false
 	}
 	restarted := n.member.GetBoot() != m.GetBoot()
@@ -176,7 +188,7 @@
 	defer l.mu.Unlock()
 	out := []string{l.self.GetName()}
 	for name, n := range l.neighbors {
-		if !n.away {
+		if !n.away && l.inCell(name) {
 			out = append(out, name)
 		}
 	}
@@ -184,11 +196,50 @@
 	return out
 }
 
-// Sharing returns how many daemons may be sharing budgets, this one included.
-func (l *Link) Sharing() int {
+// Known returns how many daemons the deployment has, this one included; daemons that have been away for a while are
+// not counted.
+func (l *Link) Known() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return 1 + len(l.neighbors)
+	return l.known()
+}
+
+func (l *Link) known() int { return 1 + len(l.neighbors) }
+
+// SilentFor returns how long a daemon has said nothing to this one; 0 if it is not a neighbour that is away.
+func (l *Link) SilentFor(name string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.neighbors[name]
+	if n == nil || !n.away || !l.inCell(name) {
+		return 0
+	}
+	return time.Since(n.heard)
+}
+
+// cells returns into how many cells the deployment is divided.
+func (l *Link) cells() uint64 { return uint64((l.known() + maxCell - 1) / maxCell) }
+
+// inCell reports whether a daemon or backend server belongs to the cell of this daemon.
+func (l *Link) inCell(name string) bool {
+	cells := l.cells()
+	return cells <= 1 || xxhash.Sum64String(name)%cells == xxhash.Sum64String(l.self.GetName())%cells
+}
+
+// InCell reports whether a backend server belongs to the cell of this daemon.
+func (l *Link) InCell(server string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inCell(server)
+}
+
+// CellChanged reports whether the deployment is divided otherwise than at the last call.
+func (l *Link) CellChanged() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.divided
+	l.divided = l.cells()
+	return before != l.divided
 }
 
 // Leave tells the neighbours that this daemon is stopping.
@@ -205,7 +256,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	add(l.pending)
-	delay := relaxedDelay
+	delay := min(maxRelaxed, relaxedDelay*time.Duration(1+len(l.neighbors)))
 	if urgent {
 		delay = urgentDelay
 	}
@@ -229,13 +280,15 @@
 }
 
 func (l *Link) summarize(ctx context.Context) {
-	ticker := time.NewTicker(summaryEvery)
-	defer ticker.Stop()
 	for {
+		pause := summaryEvery
+		if l.Known() > smallCell {
+			pause = rareSummaryEvery
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
 			l.sweep()
 			l.sendSummary()
 		}
@@ -289,8 +342,8 @@
 	l.mu.Lock()
 	p.Sender = l.self
 	var to []netip.AddrPort
-	for _, n := range l.neighbors {
-		if all || !n.away {
+	for name, n := range l.neighbors {
+		if (all || !n.away) && l.inCell(name) {
 			to = append(to, n.address)
 		}
 	}
