Let a few daemons watch the store for the others

Four daemons of a cell, those that the store serves, watch often; they pass changes of the servers on, and the others rest or watch with long waits.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,12 +20,13 @@
 
 const (
 	// A watch can miss changes until it is renewed, when the store drops its history. Daemons tell one another of
-	// changes, so that it suffices if one of them renews its watch every watchSpacing; each watch is a priced call.
-	watchSpacing = 250 * time.Millisecond
-	minWatch     = time.Second
-	maxWatch     = 6 * time.Second
+	// changes, so that it suffices if those on duty renew their watches often; each watch is a priced call.
+	dutyWatch = 1200 * time.Millisecond
+	restWatch = 20 * time.Second
 	// watchJitter spreads the watches of daemons that started together.
 	watchJitter = 0.3
+	// dutyPoll is how often a follower that does not watch looks whether it is on duty.
+	dutyPoll = 200 * time.Millisecond
 	// recovery is how long after an outage entries are still coming back.
 	recovery = 2500 * time.Millisecond
 	// Failed calls are repeated after minBackoff, doubled up to maxBackoff: a configuration has to be in force two
@@ -84,37 +86,63 @@
 type Follower struct {
 	kind    string
 	source  Source
-	changed func(Image, bool)
-	daemons func() int
+	options Options
 	log     *slog.Logger
 
-	mu      sync.Mutex
-	image   Image
-	known   bool
-	failing bool
+	mu    sync.Mutex
+	image Image
+	known bool
+	// failing is read without the lock, by what Changed calls.
+	failing atomic.Bool
 	// regained is when the store answered again after an outage; zero before the first outage.
 	regained time.Time
 }
 
-// NewFollower returns a follower that calls changed with each new image, never twice at the same time. The second
-// argument of changed says that the image was read during or shortly after an outage of the store. daemons returns how
-// many daemons follow the store.
-func NewFollower(
-	kind string, source Source, log *slog.Logger, daemons func() int, changed func(Image, bool),
-) *Follower {
-	return &Follower{kind: kind, source: source, changed: changed, daemons: daemons, log: log.With("kind", kind)}
+// Options say how a follower works.
+type Options struct {
+	// Changed is called with each new image, never twice at the same time. outage says that the image was read during or
+	// shortly after an outage of the store.
+	Changed func(image Image, outage bool)
+	// Read is called, after Changed, with each change that was read from the store, and the digest before it.
+	Read func(before uint64, w platform.Watch)
+	// OnDuty says that this daemon watches for others. Followers that are not on duty watch with long waits.
+	OnDuty func() bool
+	// Rests makes a follower that is not on duty rely on its neighbours altogether.
+	Rests bool
+}
+
+// NewFollower returns a follower of a kind.
+func NewFollower(kind string, source Source, log *slog.Logger, o Options) *Follower {
+	return &Follower{kind: kind, source: source, options: o, log: log.With("kind", kind)}
 }
 
 // wait returns how long the next watch may stay without events.
 func (f *Follower) wait() time.Duration {
-	wait := min(maxWatch, max(minWatch, time.Duration(f.daemons())*watchSpacing))
+	wait := restWatch
+	if f.options.OnDuty() {
+		wait = dutyWatch
+	}
 	return time.Duration(float64(wait) * (1 - watchJitter + 2*watchJitter*rand.Float64()))
 }
 
+// resting reports whether the follower has nothing to ask the store.
+func (f *Follower) resting() bool {
+	if !f.options.Rests || f.options.OnDuty() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known && !f.failing.Load()
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if f.resting() {
+			pause(ctx, dutyPoll)
+			continue
+		}
 		err := f.once(ctx)
 		if ctx.Err() != nil {
 			return
@@ -145,15 +173,21 @@
 	if err != nil {
 		return err
 	}
+	if len(w.Objects) == 0 {
+		return nil
+	}
+	before := uint64(0)
 	f.update(true, func(old Image) (Image, bool) {
+		before = old.Digest()
 		if old.Revision > w.Revision {
 			return old, false
 		}
-		return old.apply(w), len(w.Objects) > 0
+		return old.apply(w), true
 	})
-	if len(w.Objects) > 0 {
-		pause(ctx, settleTime)
+	if f.options.Read != nil {
+		f.options.Read(before, w)
 	}
+	pause(ctx, settleTime)
 	return nil
 }
 
@@ -187,6 +221,16 @@
 	return took
 }
 
+// AdoptChange applies a change that a neighbour has read, if it applies to what this daemon knows.
+func (f *Follower) AdoptChange(before uint64, w platform.Watch) {
+	f.update(false, func(old Image) (Image, bool) {
+		if !f.known || w.Revision < old.Revision || old.Digest() != before {
+			return old, false
+		}
+		return old.apply(w), true
+	})
+}
+
 // update changes the image; own says that the change was read from the store by this daemon.
 func (f *Follower) update(own bool, change func(Image) (Image, bool)) {
 	f.mu.Lock()
@@ -198,7 +242,7 @@
 	}
 	f.known = true
 	recent := !f.regained.IsZero() && time.Since(f.regained) < recovery
-	f.changed(image, own && (f.failing || recent))
+	f.options.Changed(image, own && (f.failing.Load() || recent))
 }
 
 // Image returns the present image; known is false before the first.
@@ -209,20 +253,15 @@
 }
 
 // Failing reports whether the last call failed.
-func (f *Follower) Failing() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.failing
-}
+func (f *Follower) Failing() bool { return f.failing.Load() }
 
 func (f *Follower) health(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	failing := err != nil
-	if failing == f.failing {
+	if f.failing.Swap(failing) == failing {
 		return
 	}
-	f.failing = failing
 	if failing {
 		f.log.Warn("store lost", "err", err)
 		return
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -72,7 +72,9 @@
 
 func follow(t *testing.T, s *fakeSource) (*Follower, chan seen) {
 	out := make(chan seen, 100)
-	f := NewFollower("k", s, evlog.Discard(), func() int { return 1 }, func(i Image, outage bool) { out <- seen{i, outage} })
+	f := NewFollower("k", s, evlog.Discard(), Options{
+		Changed: func(i Image, outage bool) { out <- seen{i, outage} }, OnDuty: func() bool { return true },
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -137,12 +139,29 @@
 	require.True(t, (<-out).outage)
 }
 
-// Guards against watches that many daemons renew at the same time, or more often than their number needs.
-func TestWatchesAreSpread(t *testing.T) {
-	for daemons, want := range map[int]time.Duration{1: minWatch, 9: 9 * watchSpacing, 300: maxWatch} {
-		f := NewFollower("k", nil, evlog.Discard(), func() int { return daemons }, nil)
+// Guards against watches that daemons renew at the same time, and daemons that watch though others do so for them.
+func TestDutyDecidesHowLongToWatch(t *testing.T) {
+	for duty, want := range map[bool]time.Duration{true: dutyWatch, false: restWatch} {
+		f := NewFollower("k", nil, evlog.Discard(), Options{OnDuty: func() bool { return duty }, Rests: true})
+		require.False(t, f.resting(), "nothing is known yet")
+		f.known = true
+		require.Equal(t, !duty, f.resting())
 		for range 50 {
 			require.InDelta(t, float64(want), float64(f.wait()), float64(want)*watchJitter+1)
 		}
 	}
 }
+
+// Guards against a neighbour's change that is applied to other objects than it was read for, or that is lost.
+func TestChangesOfNeighboursAreApplied(t *testing.T) {
+	s := &fakeSource{image: imageOf(5, object("a", 3)), watches: make(chan platform.Watch)}
+	f, out := follow(t, s)
+	before := (<-out).image.Digest()
+	change := platform.Watch{Revision: 6, Objects: []platform.Object{object("b", 6)}}
+	f.AdoptChange(before+1, change)
+	f.AdoptChange(before, change)
+	got := (<-out).image
+	require.Contains(t, got.Objects, "b")
+	f.AdoptChange(before, change)
+	require.Empty(t, out)
+}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -88,8 +88,12 @@
 	}
 	d.link = link
 	d.scheduler.tell = link.Tell
-	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, link.Known, d.configChanged)
-	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, link.Known, d.entriesChanged)
+	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, directory.Options{
+		Changed: d.configChanged, OnDuty: d.onDuty,
+	})
+	d.entries = directory.NewFollower(KindServers, a.Store, env.Log, directory.Options{
+		Changed: d.entriesChanged, Read: d.entriesRead, OnDuty: d.onDuty, Rests: true,
+	})
 	d.handler = &forward.Handler{
 		Dialect: a.Codec, Scheduler: d.scheduler, Budget: d.budget, Suspects: (*suspects)(d), Pool: d.pool,
 		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -44,6 +44,9 @@
 	for _, c := range p.GetCrashes() {
 		d.crashed(c, false)
 	}
+	for _, delta := range p.GetDeltas() {
+		d.adoptDelta(delta)
+	}
 	if d.behind(p) {
 		time.AfterFunc(fetchDelay, func() {
 			if d.behind(p) {
@@ -66,6 +69,7 @@
 	if table := d.table.Load(); table != nil {
 		p.ConfigVersion = table.Version
 	}
+	p.StoreFailing = d.storeFailing()
 	p.ServersRevision, p.ServersDigest = d.serversRevision.Load(), d.serversDigest.Load()
 }
 
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -64,6 +64,8 @@
 	address netip.AddrPort
 	heard   time.Time
 	away    bool
+	// storeFailing is what the neighbour last said of the platform's store.
+	storeFailing bool
 }
 
 // Link sends to and receives from the neighbours of one daemon.
@@ -127,7 +129,7 @@
 		return
 	}
 	restarted := l.Meet(p.GetSender())
-	l.heard(p.GetSender())
+	l.heard(p)
 	l.handler.Packet(p, restarted)
 }
 
@@ -152,7 +154,8 @@
 	return restarted
 }
 
-func (l *Link) heard(m *carobstilev1.EdgeMember) {
+func (l *Link) heard(p *carobstilev1.EdgePacket) {
+	m := p.GetSender()
 	l.mu.Lock()
 	n := l.neighbors[m.GetName()]
 	if n == nil {
@@ -160,6 +163,9 @@
 		return
 	}
 	n.heard = time.Now()
+	if p.GetConfigVersion() > 0 || p.GetStoreFailing() {
+		n.storeFailing = p.GetStoreFailing()
+	}
 	joined, left := n.away && !m.GetLeaving(), !n.away && m.GetLeaving()
 	n.away = m.GetLeaving()
 	l.mu.Unlock()
@@ -196,6 +202,19 @@
 	return out
 }
 
+// Serving returns the daemons that are heard and that the store serves; this daemon is always one of them.
+func (l *Link) Serving() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []string{l.self.GetName()}
+	for name, n := range l.neighbors {
+		if !n.away && !n.storeFailing && l.inCell(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Known returns how many daemons the deployment has, this one included; daemons that have been away for a while are
 // not counted.
 func (l *Link) Known() int {
