--- a/cmd/fakeengine/main.go
+++ b/cmd/fakeengine/main.go
@@ -53,7 +53,7 @@
 
 func serve(set fakeengine.Settings) error {
 	clock := evlog.NewClock(time.Now)
-	log := evlog.Stderr("fakeengine-"+set.Listen, slog.LevelInfo, clock)
+	log := evlog.New(os.Stdout, "fakeengine-"+set.Listen, slog.LevelInfo, clock)
 	listener, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return err
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -61,7 +61,9 @@
 		return exitSettings
 	}
 	clock := evlog.NewClock(time.Now)
-	env := &Env{Log: evlog.Stderr(processName(s, name), level, clock), Clock: clock, Group: &run.Group{}}
+	queue := evlog.NewQueue(os.Stdout)
+	defer queue.Close()
+	env := &Env{Log: evlog.New(queue, processName(s, name), level, clock), Clock: clock, Group: &run.Group{}}
 	if err := start(env); err != nil {
 		env.Log.Error("process not started", "err", err)
 		return exitFailed
--- a/internal/evlog/evlog.go
+++ b/internal/evlog/evlog.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"os"
 )
 
 // Keys that every line or the time line relies on.
@@ -25,11 +24,6 @@
 	return slog.New(handler).With(KeyProcess, process)
 }
 
-// Stderr returns a logger on standard error.
-func Stderr(process string, level slog.Level, clock *Clock) *slog.Logger {
-	return New(os.Stderr, process, level, clock)
-}
-
 // Discard returns a logger that drops everything.
 func Discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -27,6 +27,9 @@
 	bodyTimeout = 10 * time.Second
 	// retrySoon is when a caller that was refused for a reason that passes quickly should come back.
 	retrySoon = 300 * time.Millisecond
+	// retryStart is when a caller should come back to a daemon that knows no configuration: it has started during an
+	// outage of the store, which lasts seconds. Callers come back once or twice only.
+	retryStart = 2 * time.Second
 	// retryCrashing is when a request that crashes servers may be sent again; its records expire after an hour.
 	retryCrashing = time.Hour
 	// maxBody bounds bodies while the configuration states no limit.
@@ -104,7 +107,7 @@
 	h := q.h
 	q.table = h.Table()
 	if q.table == nil {
-		return q.refuse(http.StatusServiceUnavailable, retrySoon, "no configuration is known yet")
+		return q.refuse(http.StatusServiceUnavailable, retryStart, "no configuration is known yet")
 	}
 	if h.draining.Load() {
 		q.w.Header().Set("Connection", "close")
