Mend two data races, and remove what nothing uses

One was in the test of the log's queue, which read the buffer without its lock. One, in the platform's tests, was traced to the watch of a quiet stream: its timer may fire before it is assigned. The name of a daemon was read without a lock while a planned stop replaced its entry; TestLeavingWhileHearing does not show that one under the detector, since socket I/O orders the accesses there.

Removed: counts of opened connections, unused fields and settings.

--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -87,7 +87,7 @@
 		s.loss = s.harm + loadLoss*(s.pass+s.pending) + s.failureRate*value
 	}
 	slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(a.loss, b.loss) })
-	trial := option{lead: o.lead, holds: o.holds, costMs: cost, helpers: slices.Clone(rest[:extra])}
+	trial := option{lead: o.lead, holds: o.holds, helpers: slices.Clone(rest[:extra])}
 	for _, s := range append(slices.Clone(base), trial.helpers...) {
 		trial.firstMs = max(trial.firstMs, s.finishMs(cost*s.pace))
 		trial.loss += s.harmOf(now, cost*s.pace) + helperRisk*value
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -150,7 +150,6 @@
 	lead    *candidate
 	helpers []*candidate
 	holds   []heldMemory
-	costMs  float64 // of each part
 	firstMs float64
 	loss    float64
 	// passing is the part of the loss that may be less a little later.
@@ -185,7 +184,7 @@
 	if lead == nil {
 		return nil
 	}
-	o := &option{lead: lead, costMs: cost, passing: lead.harm}
+	o := &option{lead: lead, passing: lead.harm}
 	o.loss = lead.loss + lead.opens(w.Pause, value, demand) + c.domainLoss(lead.server)
 	o.helpers = bestHelpers(list, lead, n-1)
 	if len(o.helpers) < n-1 {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -31,8 +31,6 @@
 	MemoryMB int `json:"memoryMB"`
 	// StopGraceSeconds is the time from the signal to stop until the host ends the process.
 	StopGraceSeconds float64 `json:"stopGraceSeconds"`
-	// DrainMs is how long after the store's confirmation a leaving server may still get work.
-	DrainMs int `json:"drainMs"`
 	// Retry bounds requests that are sent more than once, over all daemons.
 	Retry RetrySettings `json:"retry"`
 }
--- a/internal/enginecost/enginecost.go
+++ b/internal/enginecost/enginecost.go
@@ -2,8 +2,6 @@
 // pass with writers makes Stride tokens for each of them and reads waiting prompts between the steps.
 package enginecost
 
-import "time"
-
 // Model holds the parameters of the engines of a service. Times are in milliseconds.
 type Model struct {
 	// Slots is how many requests an engine runs at once.
@@ -22,8 +20,6 @@
 	ChunkTokens int
 	// UsualAnswer is the mean length of answers in tokens.
 	UsualAnswer int
-	// MaxHold is how long a reservation of memory may last without renewal.
-	MaxHold time.Duration
 }
 
 // ReadMs returns the time that one engine needs to read a prompt, without the steps of writers in between.
--- a/internal/evlog/queue_test.go
+++ b/internal/evlog/queue_test.go
@@ -18,6 +18,12 @@
 	out     bytes.Buffer
 }
 
+func (w *stuckWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.String()
+}
+
 func (w *stuckWriter) Write(p []byte) (int, error) {
 	<-w.release
 	w.mu.Lock()
@@ -46,11 +52,9 @@
 	q.Close() // gives up while the reader is stuck
 	close(w.release)
 	require.Eventually(t, func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return strings.Contains(w.out.String(), `msg="lines left out" count=`)
+		return strings.Contains(w.String(), `msg="lines left out" count=`)
 	}, 5*time.Second, time.Millisecond)
-	require.LessOrEqual(t, strings.Count(w.out.String(), "msg=event"), queueLines+1)
+	require.LessOrEqual(t, strings.Count(w.String(), "msg=event"), queueLines+1)
 }
 
 // Guards against the last lines of a process that are lost at its end.
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -41,7 +41,9 @@
 	ctx, cancel := context.WithCancelCause(q.ctx)
 	w := &watch{ctx: ctx, cancel: cancel, q: q, plan: plan, last: q.h.Now(), first: true}
 	if q.route.Repeat == routing.RunResumed && q.sends+1 < q.route.Attempts {
+		w.mu.Lock() // the timer may fire before it is assigned
 		w.timer = time.AfterFunc(watchEvery, w.look)
+		w.mu.Unlock()
 	}
 	return w
 }
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -70,6 +70,7 @@
 
 // Link sends to and receives from the neighbours of one daemon.
 type Link struct {
+	name    string // of this daemon
 	conn    *net.UDPConn
 	handler Handler
 	log     *slog.Logger
@@ -95,7 +96,7 @@
 		return nil, errors.Wrap(err, "packet address")
 	}
 	return &Link{
-		conn: conn, handler: handler, log: log, self: self, neighbors: map[string]*neighbor{},
+		name: self.GetName(), conn: conn, handler: handler, log: log, self: self, neighbors: map[string]*neighbor{},
 		pending: &carobstilev1.EdgePacket{},
 	}, nil
 }
@@ -125,7 +126,7 @@
 		l.log.Warn("datagram not understood", "err", err)
 		return
 	}
-	if p.GetSender().GetName() == l.self.GetName() {
+	if p.GetSender().GetName() == l.name {
 		return
 	}
 	restarted := l.Meet(p.GetSender())
@@ -136,7 +137,7 @@
 // Meet takes in a daemon that is known from elsewhere. It reports whether the daemon has restarted since it was known.
 func (l *Link) Meet(m *carobstilev1.EdgeMember) bool {
 	address, err := netip.ParseAddrPort(m.GetPacketAddress())
-	if err != nil || m.GetName() == "" || m.GetName() == l.self.GetName() {
+	if err != nil || m.GetName() == "" || m.GetName() == l.name {
 		return false
 	}
 	l.mu.Lock()
@@ -192,7 +193,7 @@
 func (l *Link) Live() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := []string{l.self.GetName()}
+	out := []string{l.name}
 	for name, n := range l.neighbors {
 		if !n.away && l.inCell(name) {
 			out = append(out, name)
@@ -206,7 +207,7 @@
 func (l *Link) Serving() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := []string{l.self.GetName()}
+	out := []string{l.name}
 	for name, n := range l.neighbors {
 		if !n.away && !n.storeFailing && l.inCell(name) {
 			out = append(out, name)
@@ -242,7 +243,7 @@
 // inCell reports whether a daemon or backend server belongs to the cell of this daemon.
 func (l *Link) inCell(name string) bool {
 	cells := l.cells()
-	return cells <= 1 || xxhash.Sum64String(name)%cells == xxhash.Sum64String(l.self.GetName())%cells
+	return cells <= 1 || xxhash.Sum64String(name)%cells == xxhash.Sum64String(l.name)%cells
 }
 
 // InCell reports whether a backend server belongs to the cell of this daemon.
--- /dev/null
+++ b/internal/neighbors/link_test.go
@@ -0,0 +1,121 @@
+package neighbors
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/evlog"
+)
+
+// recorder remembers what a link says.
+type recorder struct {
+	mu        sync.Mutex
+	placed    map[uint64]bool
+	restarted int
+	joined    int
+	away      int
+}
+
+func (r *recorder) Packet(p *carobstilev1.EdgePacket, restarted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, j := range p.GetPlaced() {
+		r.placed[j.GetId()] = true
+	}
+	if restarted {
+		r.restarted++
+	}
+}
+
+func (r *recorder) Summary(*carobstilev1.EdgePacket) {}
+
+func (r *recorder) Joined(*carobstilev1.EdgeMember) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.joined++
+}
+
+func (r *recorder) Away(*carobstilev1.EdgeMember) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away++
+}
+
+func (r *recorder) has(check func() bool) func() bool {
+	return func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return check()
+	}
+}
+
+func link(t *testing.T, name string, boot uint64) (*Link, *recorder) {
+	t.Helper()
+	probe, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := probe.LocalAddr().String()
+	require.NoError(t, probe.Close())
+	r := &recorder{placed: map[uint64]bool{}}
+	l, err := Listen(&carobstilev1.EdgeMember{Name: name, PacketAddress: address, Boot: boot}, r, evlog.Discard())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l, r
+}
+
+// Guards against a data race between a daemon that stops and the datagrams that it still receives, and against
+// neighbours that do not hear that it leaves.
+func TestLeavingWhileHearing(t *testing.T) {
+	a, ra := link(t, "a", 1)
+	b, rb := link(t, "b", 2)
+	a.Meet(b.self)
+	require.Eventually(t, rb.has(func() bool { return rb.joined == 1 }), 2*time.Second, time.Millisecond)
+	address := netip.MustParseAddrPort(a.self.GetPacketAddress())
+	stop := make(chan struct{})
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for id := uint64(1); ; id++ {
+			select {
+			case <-stop:
+				return
+			default:
+				p := &carobstilev1.EdgePacket{Sender: b.self, Placed: []*carobstilev1.EdgeJob{{Id: id}}}
+				b.sendOne(p, []netip.AddrPort{address})
+				time.Sleep(time.Millisecond)
+			}
+		}
+	})
+	require.Eventually(t, ra.has(func() bool { return len(ra.placed) > 20 }), 2*time.Second, time.Millisecond)
+	a.Leave()
+	require.Eventually(t, rb.has(func() bool { return rb.away == 1 }), 2*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	close(stop)
+	sending.Wait()
+	require.Equal(t, []string{"b"}, b.Live())
+}
+
+// Guards against commitments of a process that has died and that count on after its successor has started.
+func TestRestartIsNoticed(t *testing.T) {
+	a, ra := link(t, "a", 1)
+	first, _ := link(t, "b", 2)
+	first.Meet(a.self)
+	require.Eventually(t, ra.has(func() bool { return ra.joined == 1 }), 2*time.Second, time.Millisecond)
+	second, _ := link(t, "b", 3)
+	second.Meet(a.self)
+	require.Eventually(t, ra.has(func() bool { return ra.restarted == 1 }), 2*time.Second, time.Millisecond)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,7 +20,6 @@
 	pool      *Pool
 	target    Target
 	reader    *bufio.Reader
-	reused    bool
 	idleUntil time.Time
 
 	mu        sync.Mutex
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -52,8 +52,6 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Reused says that the connection had carried other requests.
-	Reused bool
 
 	raw     *http.Response
 	conn    *conn
@@ -76,7 +74,7 @@
 	}
 	c.begin(r.Limit)
 	stop := context.AfterFunc(ctx, c.cancel)
-	resp := &Response{conn: c, stop: stop, Reused: c.reused, written: make(chan error, 1)}
+	resp := &Response{conn: c, stop: stop, written: make(chan error, 1)}
 	if len(r.Body) <= syncBody {
 		n, err := write(c, out)
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -37,13 +37,11 @@
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	// Now returns monotonic time; it is replaced in tests.
-	now    func() time.Time
+	now    func() time.Time // replaced in tests
 	dialer net.Dialer
 
-	mu     sync.Mutex
-	idle   map[Target][]*conn
-	opened map[Target]int
+	mu   sync.Mutex
+	idle map[Target][]*conn
 }
 
 // NewPool returns an empty pool.
@@ -52,7 +50,6 @@
 		now:    time.Now,
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout},
 		idle:   map[Target][]*conn{},
-		opened: map[Target]int{},
 	}
 }
 
@@ -72,7 +69,6 @@
 			break
 		}
 		if p.now().Before(c.idleUntil) && c.quiet() {
-			c.reused = true
 			return c, nil
 		}
 		c.close()
@@ -81,9 +77,6 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to server %s", t.ID)
 	}
-	p.mu.Lock()
-	p.opened[t]++
-	p.mu.Unlock()
 	return newConn(raw, p, t), nil
 }
 
@@ -128,8 +121,5 @@
 		if len(kept) == 0 {
 			delete(p.idle, t)
 		}
-		if !known {
-			delete(p.opened, t)
-		}
 	}
 }
