Take in changed settings, and survive SIGHUP at any moment

Cause: an actor of the daemon caught SIGHUP. Before it ran, and after a stop had ended it, the signal's default ended the process. Settings were never read again, although the platform may change the file with or without a signal.

Ruled out: a crash of the daemon (its log ends without an error), and the kill by the schedule itself.

Before: the schedule reload-while-starting ends a daemon. The limits of repeats, the memory limit and the grace period now apply at once; other changes are logged as waiting for the next start. Settings with errors change nothing.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"syscall"
 	"time"
 
@@ -39,10 +40,17 @@
 	Log   *slog.Logger
 	Clock *evlog.Clock
 	Group *run.Group
+	// SettingsPath is the file that the settings were read from.
+	SettingsPath string
+	// Reload receives a value when the settings file may have changed.
+	Reload <-chan os.Signal
 }
 
 // Main runs a binary until it is signalled or an actor ends, and returns the exit code. start adds the actors.
 func Main(name string, s settings.Checker, start func(env *Env) error) int {
+	// SIGHUP must not end the process while it starts or stops either, so that it is caught first and to the end.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var line commandLine
 	if _, err := flags.NewParser(&line, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		return usage(err)
@@ -63,7 +71,10 @@
 	clock := evlog.NewClock(time.Now)
 	queue := evlog.NewQueue(os.Stdout)
 	defer queue.Close()
-	env := &Env{Log: evlog.New(queue, processName(s, name), level, clock), Clock: clock, Group: &run.Group{}}
+	env := &Env{
+		Log: evlog.New(queue, processName(s, name), level, clock), Clock: clock, Group: &run.Group{},
+		SettingsPath: line.Settings, Reload: reload,
+	}
 	if err := start(env); err != nil {
 		env.Log.Error("process not started", "err", err)
 		return exitFailed
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,9 +25,6 @@
 )
 
 const (
-	// memoryShare is the share of the host's memory at which the garbage collector works harder; bytes that are received
-	// and not yet read count as well.
-	memoryShare = 0.6
 	// crashLimit is how many servers a request may crash before it is refused.
 	crashLimit = 3
 	// unknownDaemons is among how many daemons budgets are divided before any neighbour is known.
@@ -39,21 +35,23 @@
 
 // Daemon is one carobedge process.
 type Daemon struct {
-	settings  *Settings
-	adapter   Adapter
-	log       *slog.Logger
-	start     time.Time
-	boot      uint64
-	table     atomic.Pointer[routing.Table]
-	scheduler *scheduler
-	link      *neighbors.Link
-	handler   *forward.Handler
-	pool      *upstream.Pool
-	budget    *retrybudget.Budget
-	crashes   *crashes.Set
-	config    *directory.Follower
-	entries   *directory.Follower
-	metrics   *metrics
+	settings *Settings
+	// changeable are the newest settings, of which only some apply while the process runs.
+	changeable atomic.Pointer[Settings]
+	adapter    Adapter
+	log        *slog.Logger
+	start      time.Time
+	boot       uint64
+	table      atomic.Pointer[routing.Table]
+	scheduler  *scheduler
+	link       *neighbors.Link
+	handler    *forward.Handler
+	pool       *upstream.Pool
+	budget     *retrybudget.Budget
+	crashes    *crashes.Set
+	config     *directory.Follower
+	entries    *directory.Follower
+	metrics    *metrics
 
 	serversMu sync.Mutex
 	servers   *serverList
@@ -72,16 +70,15 @@
 
 // Start adds the actors of a daemon to the environment of its process.
 func Start(s *Settings, env *app.Env, a Adapter) error {
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	d := &Daemon{
 		settings: s, adapter: a, log: env.Log, start: time.Now(), boot: rand.Uint64(), pool: upstream.NewPool(),
 		crashes: crashes.NewSet(crashLimit), paces: map[string]float64{}, stopping: make(chan struct{}), metrics: newMetrics(),
 	}
+	d.changeable.Store(s)
+	s.limitMemory()
 	d.servers = newServerList(a.Codec, env.Log)
 	d.scheduler = newScheduler(s.FailureDomain, d.now)
-	d.budget = retrybudget.New(retrybudget.Limits{
-		Ratio: s.Retry.Ratio, Allowance: s.Retry.Allowance, Window: core.Span(seconds(s.Retry.WindowSeconds)),
-	}, unknownDaemons, d.now)
+	d.budget = retrybudget.New(s.Retry.limits(), unknownDaemons, d.now)
 	link, err := neighbors.Listen(d.self(), d, env.Log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/edge/reload_test.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/evlog"
+	"github.com/carobstile/carobstile/internal/retrybudget"
+)
+
+func settingsForReload() Settings {
+	return Settings{
+		Name: "d", FailureDomain: "z", CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", ServiceAddress: "127.0.0.1:3",
+		PacketAddress: "127.0.0.1:4", MetricsAddress: "127.0.0.1:5", StoreAddress: "127.0.0.1:6", MemoryMB: 256,
+		StopGraceSeconds: 8, Retry: RetrySettings{Ratio: 0, Allowance: 0, WindowSeconds: 10},
+	}
+}
+
+func writeSettings(t *testing.T, path string, s Settings) {
+	t.Helper()
+	data, err := json.Marshal(s)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+}
+
+// Guards against limits that apply only after a restart, and against settings with errors that change anything.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	s := settingsForReload()
+	d := &Daemon{settings: &s, log: evlog.Discard()}
+	d.changeable.Store(&s)
+	d.budget = retrybudget.New(s.Retry.limits(), 1, func() core.Micros { return core.Micros(time.Second) })
+	require.False(t, d.budget.Allow("svc"))
+
+	next := s
+	next.Retry.Allowance, next.StopGraceSeconds, next.StoreAddress = 10, 5, "127.0.0.1:7"
+	writeSettings(t, path, next)
+	d.reload(path, "test")
+	require.True(t, d.budget.Allow("svc"))
+	require.Equal(t, 5*time.Second, d.changeable.Load().stopGrace())
+	require.Equal(t, []string{"storeAddress"}, fixedDiffering(&s, &next))
+
+	broken := next
+	broken.StopGraceSeconds = -1
+	writeSettings(t, path, broken)
+	d.reload(path, "test")
+	require.Equal(t, 5*time.Second, d.changeable.Load().stopGrace())
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -5,9 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,7 +57,7 @@
 			return err
 		}
 	}
-	env.Background(d.reloadOnSignal)
+	env.Background(func(ctx context.Context) { d.watchSettings(ctx, env.SettingsPath, env.Reload) })
 	return nil
 }
 
@@ -109,7 +106,7 @@
 	server.SetKeepAlivesEnabled(false)
 	time.Sleep(acceptFor - time.Since(began))
 	d.handler.Drain()
-	end := began.Add(d.settings.stopGrace() - stopReserve)
+	end := began.Add(d.changeable.Load().stopGrace() - stopReserve)
 	for d.handler.Open() > 0 && time.Now().Before(end) {
 		time.Sleep(idlePoll)
 	}
@@ -126,19 +123,3 @@
 		d.log.Warn("own entry not removed", "err", err)
 	}
 }
-
-// reloadOnSignal keeps the process alive on SIGHUP. Settings name addresses and the host only, which do not change while
-// a process runs.
-func (d *Daemon) reloadOnSignal(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			d.log.Info("settings may have changed; they apply at the next start")
-		}
-	}
-}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -4,9 +4,12 @@
 package edge
 
 import (
+	"runtime/debug"
 	"time"
 
+	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/findings"
+	"github.com/carobstile/carobstile/internal/retrybudget"
 	"github.com/carobstile/carobstile/internal/settings"
 )
 
@@ -82,4 +85,14 @@
 
 func (s *Settings) stopGrace() time.Duration { return seconds(s.StopGraceSeconds) }
 
+// memoryShare is the share of the host's memory at which the garbage collector works harder; bytes that are received and
+// not yet read count as well.
+const memoryShare = 0.6
+
+func (s *Settings) limitMemory() { debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare)) }
+
+func (r RetrySettings) limits() retrybudget.Limits {
+	return retrybudget.Limits{Ratio: r.Ratio, Allowance: r.Allowance, Window: core.Span(seconds(r.WindowSeconds))}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -26,10 +26,10 @@
 
 // Budget counts one daemon's requests and repeats. It is safe for concurrent use.
 type Budget struct {
-	limits Limits
-	now    func() core.Micros
+	now func() core.Micros
 
 	mu       sync.Mutex
+	limits   Limits
 	daemons  int
 	services map[string]*counts
 }
@@ -51,6 +51,21 @@
 	b.daemons = max(1, n)
 }
 
+// SetLimits changes the bound. A window of another length starts with what was counted in the old one.
+func (b *Budget) SetLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.Window != b.limits.Window {
+		for _, c := range b.services {
+			c.slot = b.now() / slotOf(l)
+		}
+	}
+	b.limits = l
+}
+
+// slotOf returns the length of a slot.
+func slotOf(l Limits) core.Micros { return max(1, l.Window/slots) }
+
 // Counted adds a request.
 func (b *Budget) Counted(service string) {
 	b.mu.Lock()
@@ -74,7 +89,7 @@
 
 // at returns the counts of a service, without those that have left the window.
 func (b *Budget) at(service string) *counts {
-	slot := b.now() / max(1, b.limits.Window/slots)
+	slot := b.now() / slotOf(b.limits)
 	c := b.services[service]
 	if c == nil {
 		c = &counts{slot: slot}
