Add a fault soak that runs real daemons behind harming proxies

carobsoak starts carobedge processes, stand-ins of the store and of servers, and callers that keep their connections. It kills, freezes, stops and reloads processes, harms the links to the store, to servers and to callers, and changes servers and the configuration by a seeded schedule. The judge checks the promises from what callers and servers see: runs of each id, whole answers, order of events, statuses, leaving servers, dropped routes and keys, the budget of repeats, time limits, planned stops, memory and recovery. Schedules can be printed, replayed and shortened.

Not covered: faults of the datagrams between daemons, and clocks, which cannot be set for one process without root; the daemon uses monotonic time only.

--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var program string
+
+// TestMain builds the daemon once, under the race detector.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "carobsoak")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "carobedge")
+	build := exec.Command("go", "build", "-race", "-o", program, "github.com/carobstile/carobstile/cmd/carobedge")
+	build.Stderr = os.Stderr
+	code := 1
+	if build.Run() == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func playOnce(t *testing.T, s Schedule) {
+	t.Helper()
+	dir := t.TempDir()
+	result, err := Run(context.Background(), s, Options{
+		Program: program, Dir: dir, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, "outcomes %v", result.Outcomes)
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	require.NoError(t, err)
+	for _, path := range logs {
+		data, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.NotContains(t, string(data), "DATA RACE", path)
+		require.NotContains(t, string(data), "panic:", path)
+	}
+}
+
+// Guards against broken promises under drawn series of faults, for a few fixed seeds.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{7, 8} {
+		s := Schedule{Seed: seed, Daemons: 4, Engines: 4, Plain: 2, Callers: 12, FaultsMs: 8_000}
+		t.Run("seed", func(t *testing.T) {
+			t.Parallel()
+			playOnce(t, Generate(s, 16))
+		})
+	}
+}
+
+// Guards against the faults that the soak has found; each file names its cause.
+func TestRegressions(t *testing.T) {
+	files, err := filepath.Glob("testdata/regressions/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, path := range files {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Parallel()
+			file, err := os.Open(path)
+			require.NoError(t, err)
+			defer file.Close()
+			s, err := Read(file)
+			require.NoError(t, err)
+			require.NotEmpty(t, s.Cause)
+			playOnce(t, s)
+		})
+	}
+}
+
+// Guards against schedules that differ between runs of one seed, or that cannot be read back.
+func TestSchedulesRepeat(t *testing.T) {
+	base := Schedule{Seed: 3, Daemons: 6, Engines: 6, Plain: 3, Callers: 4, FaultsMs: 20_000}
+	a := Generate(base, 50)
+	require.Equal(t, a, Generate(base, 50))
+	var text bytes.Buffer
+	require.NoError(t, a.Write(&text))
+	b, err := Read(&text)
+	require.NoError(t, err)
+	require.Equal(t, a, b)
+}
+
+// Guards against schedules with errors that are played in part.
+func TestReadNamesWhatIsWrong(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"daemons":0}`: "daemons must be from 1",
+		`{"daemons":1,"engines":1,"plain":1,"callers":1,"faultsMs":1,"faults":[{"kind":"x"}]}`:           `faults[0]: kind "x" does not exist`,
+		`{"daemons":1,"engines":1,"plain":1,"callers":1,"faultsMs":1,"faults":[{"kind":"server-link"}]}`: `faults[0]: variant ""`,
+		`{"daemon":1}`: "unknown field",
+	} {
+		_, err := Read(strings.NewReader(text))
+		require.ErrorContains(t, err, want)
+	}
+}
+
+// Guards against shrinking that loses the faults which matter, or keeps others.
+func TestShrink(t *testing.T) {
+	s := Generate(Schedule{Seed: 5, Daemons: 2, Engines: 1, Plain: 1, Callers: 1, FaultsMs: 1_000}, 20)
+	for i := range s.Faults {
+		s.Faults[i].Target = i
+	}
+	small := Shrink(s, 200, func(c Schedule) bool {
+		found := 0
+		for _, f := range c.Faults {
+			if f.Target == 3 || f.Target == 17 {
+				found++
+			}
+		}
+		return found == 2
+	})
+	require.Len(t, small.Faults, 2)
+}
+
+// Guards against a proxy that does not do what its link says.
+func TestProxyLinks(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer target.Close()
+	go func() {
+		for {
+			c, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	p, err := newProxy(target.Addr().String())
+	require.NoError(t, err)
+	defer p.close()
+	echo := func() error {
+		c, err := net.Dial("tcp", p.address())
+		require.NoError(t, err)
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err = io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	require.NoError(t, echo())
+	for _, link := range []Link{LinkReset, LinkSilent, LinkSilentUp, LinkSilentDown, LinkSlow} {
+		p.set(link)
+		require.Error(t, echo(), link) // slow in both directions takes as long as the deadline
+		p.set(LinkSound)
+		require.NoError(t, echo(), link)
+	}
+}
