Let daemons that start meet through their seeds

A daemon knew the others only when the store's list, which may be seconds old, was read again; until then each counted itself on duty and heard of every server that started, and it took 14 s until all knew all.

Ruled out: the long watches of the configuration (two calls a daemon in that time) and the lists of daemons (a tenth of a call each).

Now a daemon asks a seed at its start and a second later, and tells it of itself. One that knows no other daemon yet does not watch for two seconds if it has seeds. Datagrams that are no summaries name their sender in short.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -195,6 +195,7 @@
 			d.updateServers()
 		}
 		d.budget.SetDaemons(d.link.Known())
+		d.scheduler.Step(dispatch.DaemonsKnown{Count: len(d.link.Live())})
 		d.pool.Retain(func(t upstream.Target) bool {
 			address, ok := d.addressOf(t.ID)
 			return ok && address == t.Address
--- a/internal/edge/duty.go
+++ b/internal/edge/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/platform"
@@ -14,7 +15,11 @@
 // onDuty reports whether this daemon is one of those that watch the store: the first ones by rank that the store does
 // not turn away.
 func (d *Daemon) onDuty() bool {
-	for _, name := range rendezvous.Top("watch", d.link.Serving(), watchers) {
+	serving := d.link.Serving()
+	if len(serving) == 1 && len(d.settings.Seeds) > 0 && time.Since(d.start) < startQuiet {
+		return false
+	}
+	for _, name := range rendezvous.Top("watch", serving, watchers) {
 		if name == d.settings.Name {
 			return true
 		}
--- a/internal/edge/fetch.go
+++ b/internal/edge/fetch.go
@@ -21,21 +21,22 @@
 
 var fetchClient = &http.Client{Transport: upstream.Transport()}
 
-// fetch takes in what another daemon knows.
-func (d *Daemon) fetch(address string) {
+// fetch takes in what another daemon knows, and reports whether it did.
+func (d *Daemon) fetch(address string) bool {
 	if !d.fetching.CompareAndSwap(false, true) {
-		return
+		return false
 	}
 	defer d.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	client := carobstilev1connect.NewEdgeServiceClient(fetchClient, "http://"+address)
-	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{}))
+	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{Sender: d.self()}))
 	if err != nil {
 		d.log.Info("neighbour not asked", "address", address, "err", err)
-		return
+		return false
 	}
 	d.takeIn(resp.Msg)
+	return true
 }
 
 func (d *Daemon) takeIn(m *carobstilev1.FetchResponse) {
@@ -67,8 +68,11 @@
 
 // Fetch implements carobstilev1connect.EdgeServiceHandler.
 func (s peerService) Fetch(
-	context.Context, *connect.Request[carobstilev1.FetchRequest],
+	_ context.Context, req *connect.Request[carobstilev1.FetchRequest],
 ) (*connect.Response[carobstilev1.FetchResponse], error) {
+	if sender := req.Msg.GetSender(); sender != nil {
+		s.d.link.Meet(sender)
+	}
 	out := &carobstilev1.FetchResponse{Members: s.d.link.Members()}
 	for _, r := range s.d.crashes.Records(s.d.now()) {
 		out.Crashes = append(out.Crashes, &carobstilev1.EdgeCrash{
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -14,6 +15,15 @@
 // within a few milliseconds.
 const fetchDelay = 200 * time.Millisecond
 
+const (
+	// meetAgain is when a daemon that starts asks a seed for the second time; daemons that started together have asked
+	// one by then.
+	meetAgain = time.Second
+	// startQuiet is how long a daemon that starts and knows no other one yet leaves it to others to watch the servers'
+	// entries. While a deployment starts all of them change, and every daemon would hear of each.
+	startQuiet = 2 * time.Second
+)
+
 var _ neighbors.Handler = (*Daemon)(nil)
 
 // Packet implements neighbors.Handler.
@@ -90,27 +100,40 @@
 	d.log.Info("neighbour away", "daemon", m.GetName(), "leaving", m.GetLeaving())
 }
 
-// fetchAtStart asks seeds and neighbours until a configuration is known, in case the store cannot be reached.
+// fetchAtStart asks seeds for the other daemons, twice, so that they are known long before the store's list is read again.
+// While the store cannot be reached it goes on, with all known daemons, until a configuration is known.
 func (d *Daemon) fetchAtStart(ctx context.Context) {
 	ticker := time.NewTicker(fetchDelay)
 	defer ticker.Stop()
-	for !d.complete() {
+	for n := 0; ctx.Err() == nil; n++ {
+		switch {
+		case n == 0 || n == int(meetAgain/fetchDelay):
+			d.fetchFromAny(d.settings.Seeds)
+		case d.config.Failing() && !d.complete():
+			for _, address := range d.addresses() {
+				d.fetch(address)
+			}
+		case n > int(startQuiet/fetchDelay) && d.complete():
+			return
+		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-ticker.C:
 		}
-		if !d.config.Failing() || d.complete() {
-			continue
-		}
-		for _, address := range d.seeds() {
-			d.fetch(address)
+	}
+}
+
+// fetchFromAny asks seeds in random order until one answers.
+func (d *Daemon) fetchFromAny(seeds []string) {
+	for _, i := range rand.Perm(len(seeds)) {
+		if seeds[i] != d.settings.ServiceAddress && d.fetch(seeds[i]) {
+			return
 		}
 	}
 }
 
-// seeds returns service addresses of daemons that may be asked.
-func (d *Daemon) seeds() []string {
+// addresses returns service addresses of daemons that may be asked.
+func (d *Daemon) addresses() []string {
 	var out []string
 	for _, seed := range d.settings.Seeds {
 		if address, err := netip.ParseAddrPort(seed); err == nil && seed != d.settings.ServiceAddress {
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -64,6 +64,8 @@
 	address netip.AddrPort
 	heard   time.Time
 	away    bool
+	// unheard is set until the first datagram; heard is then when the daemon became known.
+	unheard bool
 	// storeFailing is what the neighbour last said of the platform's store.
 	storeFailing bool
 }
@@ -136,6 +138,9 @@
 
 // Meet takes in a daemon that is known from elsewhere. It reports whether the daemon has restarted since it was known.
 func (l *Link) Meet(m *carobstilev1.EdgeMember) bool {
+	if m.GetPacketAddress() == "" {
+		return l.rebooted(m)
+	}
 	address, err := netip.ParseAddrPort(m.GetPacketAddress())
 	if err != nil || m.GetName() == "" || m.GetName() == l.name {
 		return false
@@ -144,7 +149,7 @@
 	defer l.mu.Unlock()
 	n := l.neighbors[m.GetName()]
 	if n == nil {
-		l.neighbors[m.GetName()] = &neighbor{member: m, address: address, heard: time.Now(), away: true}
+		l.neighbors[m.GetName()] = &neighbor{member: m, address: address, heard: time.Now(), away: true, unheard: true}
 		if l.inCell(m.GetName()) {
 			go l.greet(address)
 		}
@@ -155,6 +160,19 @@
 	return restarted
 }
 
+// rebooted is Meet for the short form of a sender.
+func (l *Link) rebooted(m *carobstilev1.EdgeMember) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.neighbors[m.GetName()]
+	if n == nil || n.member.GetBoot() == m.GetBoot() {
+		return false
+	}
+	n.member = proto.Clone(n.member).(*carobstilev1.EdgeMember)
+	n.member.Boot = m.GetBoot()
+	return true
+}
+
 func (l *Link) heard(p *carobstilev1.EdgePacket) {
 	m := p.GetSender()
 	l.mu.Lock()
@@ -163,7 +181,7 @@
 		l.mu.Unlock()
 		return
 	}
-	n.heard = time.Now()
+	n.heard, n.unheard = time.Now(), false
 	if p.GetConfigVersion() > 0 || p.GetStoreFailing() {
 		n.storeFailing = p.GetStoreFailing()
 	}
@@ -203,13 +221,15 @@
 	return out
 }
 
-// Serving returns the daemons that are heard and that the store serves; this daemon is always one of them.
+// Serving returns the daemons that are heard, or became known a moment ago, and that the store serves; this daemon is
+// always one of them.
 func (l *Link) Serving() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := []string{l.name}
 	for name, n := range l.neighbors {
-		if !n.away && !n.storeFailing && l.inCell(name) {
+		live := !n.away || n.unheard && time.Since(n.heard) < silentAfter
+		if live && !n.storeFailing && l.inCell(name) {
 			out = append(out, name)
 		}
 	}
@@ -360,7 +380,7 @@
 // send sends a packet, in several datagrams if it holds many jobs.
 func (l *Link) send(p *carobstilev1.EdgePacket, all bool) {
 	l.mu.Lock()
-	p.Sender = l.self
+	p.Sender = l.sender(p.GetSummary())
 	var to []netip.AddrPort
 	for name, n := range l.neighbors {
 		if (all || !n.away) && l.inCell(name) {
@@ -377,6 +397,14 @@
 	l.sendOne(p, to)
 }
 
+// sender returns the sender of a datagram; only summaries spell it out, which saves half of the bytes of the others.
+func (l *Link) sender(whole bool) *carobstilev1.EdgeMember {
+	if whole {
+		return l.self
+	}
+	return &carobstilev1.EdgeMember{Name: l.name, Boot: l.self.GetBoot(), Leaving: l.self.GetLeaving()}
+}
+
 func (l *Link) sendOne(p *carobstilev1.EdgePacket, to []netip.AddrPort) {
 	data, err := proto.Marshal(p)
 	if err != nil || len(data) > maxPacket {
