--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,7 +22,9 @@
 	// A watch can miss changes until it is renewed, when the store drops its history. Daemons tell one another of
 	// changes, so that it suffices if those on duty renew their watches often; each watch is a priced call.
 	dutyWatch = 1200 * time.Millisecond
-	restWatch = 20 * time.Second
+	// restWatch with its jitter stays below the 20 s of history that the store keeps; a watch that ends later finds its
+	// revision gone and lists everything again.
+	restWatch = 14 * time.Second
 	// watchJitter spreads the watches of daemons that started together.
 	watchJitter = 0.3
 	// dutyPoll is how often a follower that does not watch looks whether it is on duty.
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -380,7 +380,7 @@
 // send sends a packet, in several datagrams if it holds many jobs.
 func (l *Link) send(p *carobstilev1.EdgePacket, all bool) {
 	l.mu.Lock()
-	p.Sender = l.sender(p.GetSummary())
+	p.Sender = l.sender(all)
 	var to []netip.AddrPort
 	for name, n := range l.neighbors {
 		if (all || !n.away) && l.inCell(name) {
@@ -397,7 +397,8 @@
 	l.sendOne(p, to)
 }
 
-// sender returns the sender of a datagram; only summaries spell it out, which saves half of the bytes of the others.
+// sender returns the sender of a datagram. Only greetings and the summaries that go to all spell it out; bytes between
+// failure domains cost money, and the addresses were half of most datagrams.
 func (l *Link) sender(whole bool) *carobstilev1.EdgeMember {
 	if whole {
 		return l.self
