Keep no more idle connections than a server can accept from all daemons

Cause: a daemon kept up to 8 idle connections to each server, whatever the configuration says that the server accepts.

Ruled out: a global count through the store, whose calls are priced.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -29,6 +30,8 @@
 	crashLimit = 3
 	// unknownDaemons is among how many daemons budgets are divided before any neighbour is known.
 	unknownDaemons = 16
+	// runningShare times its slots is how many connections to a server requests may use that run there or wait.
+	runningShare = 2
 	// housekeepEvery is how often idle connections and lapsed entries are looked at.
 	housekeepEvery = 250 * time.Millisecond
 )
@@ -196,14 +199,28 @@
 		}
 		d.budget.SetDaemons(d.link.Known())
 		d.scheduler.Step(dispatch.DaemonsKnown{Count: len(d.link.Live())})
-		d.pool.Retain(func(t upstream.Target) bool {
-			address, ok := d.addressOf(t.ID)
-			return ok && address == t.Address
-		})
+		d.pool.Retain(d.keptConnections)
 		d.scheduler.Step(dispatch.Tick{Now: d.now()})
 	})
 }
 
+// keptConnections returns how many idle connections to a server this daemon keeps. The connections that a server accepts
+// are shared by all daemons, and what runs and waits on it needs some of them.
+func (d *Daemon) keptConnections(t upstream.Target) int {
+	d.serversMu.Lock()
+	s, ok := d.servers.servers[t.ID]
+	d.serversMu.Unlock()
+	table := d.table.Load()
+	if !ok || s.Address != t.Address || table == nil {
+		return 0
+	}
+	service := table.Service(s.Service)
+	if service == nil || service.MaxConns <= 0 {
+		return math.MaxInt
+	}
+	return max(0, service.MaxConns-runningShare*s.Slots) / d.link.Known()
+}
+
 // suspects implements forward.Suspects on the set of crash records.
 type suspects Daemon
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors of Send. Exactly one of them is in the chain of every error that it returns.
+// Errors of Send. Every error that it returns is marked with exactly one of them, for errors.Is of cockroachdb/errors.
 var (
 	// ErrNotSent means that no byte of the request has left this process.
 	ErrNotSent = errors.New("request not sent")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,7 +25,7 @@
 	// idleShare is the share of a server's stated timeout after which a connection is no longer used; the rest covers
 	// the time that a request needs to arrive.
 	idleShare = 0.6
-	// maxIdlePerServer bounds kept connections of one daemon to one server.
+	// maxIdlePerServer bounds kept connections of one daemon to one server; Retain may set a lower bound.
 	maxIdlePerServer = 8
 )
 
@@ -42,6 +42,8 @@
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
+	// limits are lower bounds than maxIdlePerServer, as the last Retain said.
+	limits map[Target]int
 }
 
 // NewPool returns an empty pool.
@@ -49,7 +51,7 @@
 	return &Pool{
 		now:    time.Now,
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout},
-		idle:   map[Target][]*conn{},
+		idle:   map[Target][]*conn{}, limits: map[Target]int{},
 	}
 }
 
@@ -95,23 +97,30 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.target]) >= maxIdlePerServer {
+	limit, limited := p.limits[c.target]
+	if !limited {
+		limit = maxIdlePerServer
+	}
+	if len(p.idle[c.target]) >= limit {
 		c.close()
 		return
 	}
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
 
-// Retain closes the kept connections of servers that keep does not know, and those that have been idle for too long.
-func (p *Pool) Retain(keep func(Target) bool) {
+// Retain closes the kept connections that have been idle for too long, and those beyond what keep returns for a server;
+// 0 is for servers that are gone.
+func (p *Pool) Retain(keep func(Target) int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	clear(p.limits)
 	for t, list := range p.idle {
-		known := keep(t)
+		limit := min(keep(t), maxIdlePerServer)
+		p.limits[t] = limit
 		kept := list[:0]
 		for _, c := range list {
-			if !known || !now.Before(c.idleUntil) {
+			if len(kept) >= limit || !now.Before(c.idleUntil) {
 				c.close()
 				continue
 			}
