Log every decision of troubled requests, sample the others, and publish what is believed

Cause: the log held decisions about requests at debug level only, so that an on-call engineer saw the end of a failed request but not where it had been sent, and metrics told neither kinds, failure domains, servers and reasons apart nor how old the knowledge of the store is. The decisions of a request are now kept and logged with its end if it failed, was sent twice or was late; of the others five a second are, and the rest are counted. The metrics scope is one package for both daemons.

The new test of the metrics found a fault: where no other server was left, a server's own 500 was replaced by a 502 after 1.3 s of waiting for one. The last failure that a server answered is now delivered if nothing better comes.

Ruled out: logging all placements at info level; at 200 requests a second that is 2 ms of processor time a second for lines that nobody reads.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -14,7 +14,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.readyz)
-	mux.Handle("GET /metrics", d.metrics.handler)
+	mux.Handle("GET /metrics", d.metrics.Handler)
 	mux.HandleFunc("GET /status", d.status)
 	if d.settings.Profiling {
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/carobstile/carobstile/internal/membercore"
 	"github.com/carobstile/carobstile/internal/peer"
 	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/telemetry"
 )
 
 // Daemon is all parts of one carobgate.
@@ -49,7 +50,7 @@
 	crashes   *crashRecorder
 	leaving   *leavingHosts
 	gate      *gate.Gate
-	metrics   *metrics
+	metrics   *telemetry.Metrics
 	udp       *peer.UDP
 	traffic   peer.Traffic
 	stopping  atomic.Bool
@@ -67,7 +68,7 @@
 // New builds a daemon. Nothing runs and no address is open but the UDP socket of membership.
 func New(s *Settings, log *slog.Logger, clock *evlog.Clock) (*Daemon, error) {
 	d := &Daemon{headroom: make([]byte, headroomBytes), settings: s, log: log, clock: clock, store: platform.NewClient(s.PlatformAddress)}
-	d.metrics = newMetrics()
+	d.metrics = telemetry.New()
 	peers, err := peer.NewPool(s.Credentials, 0, clock)
 	if err != nil {
 		return nil, errors.Wrap(err, "credentials")
@@ -159,7 +160,7 @@
 		Config: d.conf.Current, Grants: newGateGrants(d.grants), Engines: engines,
 		Claims: d.claims, Crashes: d.crashes, Cursors: keyring, Leaving: d.leaving.contains, Log: d.log,
 		MaxOpenBodyBytes: int64(d.settings.MaxOpenBodyBytes),
-		Scope:            d.metrics.scope.SubScope("gate"),
+		Scope:            d.metrics.Scope.SubScope("gate"),
 	})
 	return nil
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -96,6 +96,8 @@
 	known bool
 	// failing is read without the lock, by what Changed calls.
 	failing atomic.Bool
+	// answered is when the store last answered this daemon, changed when the image last changed; zero before.
+	answered, changed time.Time
 	// regained is when the store answered again after an outage; zero before the first outage.
 	regained time.Time
 }
@@ -242,7 +244,7 @@
 	if !news {
 		return
 	}
-	f.known = true
+	f.known, f.changed = true, time.Now()
 	recent := !f.regained.IsZero() && time.Since(f.regained) < recovery
 	f.options.Changed(image, own && (f.failing.Load() || recent))
 }
@@ -257,10 +259,35 @@
 // Failing reports whether the last call failed.
 func (f *Follower) Failing() bool { return f.failing.Load() }
 
+// Age returns how long ago the store last answered this daemon; 0 before the first answer. A daemon that rests relies on
+// its neighbours, so that this grows while ChangedAge tells of the last change that it was told of.
+func (f *Follower) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return since(now, f.answered)
+}
+
+// ChangedAge returns how long ago the image last changed; 0 before the first.
+func (f *Follower) ChangedAge(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return since(now, f.changed)
+}
+
+func since(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return now.Sub(at)
+}
+
 func (f *Follower) health(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	failing := err != nil
+	if !failing {
+		f.answered = time.Now()
+	}
 	if f.failing.Swap(failing) == failing {
 		return
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -101,3 +101,15 @@
 	// FaultReplaced means that another server has the address.
 	FaultReplaced
 )
+
+// String returns the name in logs and metrics.
+func (f Fault) String() string {
+	names := map[Fault]string{
+		FaultUnreachable: "unreachable", FaultSilent: "silent", FaultBroken: "broken", FaultRefused: "refused",
+		FaultErrored: "errored", FaultReplaced: "replaced",
+	}
+	if name, ok := names[f]; ok {
+		return name
+	}
+	return "unknown"
+}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/carobstile/carobstile/internal/retrybudget"
 	"github.com/carobstile/carobstile/internal/routing"
 	"github.com/carobstile/carobstile/internal/shell"
+	"github.com/carobstile/carobstile/internal/telemetry"
 	"github.com/carobstile/carobstile/internal/upstream"
 )
 
@@ -54,7 +55,7 @@
 	crashes    *crashes.Set
 	config     *directory.Follower
 	entries    *directory.Follower
-	metrics    *metrics
+	metrics    *telemetry.Metrics
 
 	serversMu sync.Mutex
 	servers   *serverList
@@ -75,7 +76,7 @@
 func Start(s *Settings, env *app.Env, a Adapter) error {
 	d := &Daemon{
 		settings: s, adapter: a, log: env.Log, start: time.Now(), boot: rand.Uint64(), pool: upstream.NewPool(),
-		crashes: crashes.NewSet(crashLimit), paces: map[string]float64{}, stopping: make(chan struct{}), metrics: newMetrics(),
+		crashes: crashes.NewSet(crashLimit), paces: map[string]float64{}, stopping: make(chan struct{}), metrics: telemetry.New(),
 	}
 	d.changeable.Store(s)
 	s.limitMemory()
@@ -97,7 +98,7 @@
 	d.handler = &forward.Handler{
 		Dialect: a.Codec, Scheduler: d.scheduler, Budget: d.budget, Suspects: (*suspects)(d), Pool: d.pool,
 		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
-		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.scope),
+		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.Scope),
 	}
 	return d.addActors(env)
 }
@@ -117,7 +118,7 @@
 		return err
 	}
 	for _, f := range []func(context.Context){
-		d.config.Run, d.entries.Run, d.link.Run, d.keepMembers, d.pollReports, d.housekeep, d.fetchAtStart,
+		d.config.Run, d.entries.Run, d.link.Run, d.keepMembers, d.pollReports, d.housekeep, d.fetchAtStart, d.reportBeliefs,
 	} {
 		env.Background(f)
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -51,7 +51,7 @@
 	}{
 		{"ready", d.settings.ReadyAddress, http.HandlerFunc(d.ready)},
 		{"daemons", d.settings.ServiceAddress, peers},
-		{"metrics", d.settings.MetricsAddress, d.metrics.handler},
+		{"metrics", d.settings.MetricsAddress, d.metrics.Handler},
 	} {
 		if err := env.Serve(s.what, s.address, s.handler, 0); err != nil {
 			return err
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -40,7 +40,7 @@
 	done      verdict = iota + 1 // the caller has its answer
 	again                        // another server may be tried
 	cutOff                       // the stream cannot go on
-	failedRun                    // a failure answer of the server is kept in q.kept
+	failedRun                    // the server answered with a failure
 )
 
 // serve sends the request until it has an answer.
@@ -51,7 +51,10 @@
 			q.unplaced(err)
 			return
 		}
-		v, kept := q.attempt(plan, id)
+		v, answer := q.attempt(plan, id)
+		if answer != nil {
+			q.failure = answer
+		}
 		switch {
 		case v == done:
 			return
@@ -59,7 +62,7 @@
 			q.cutOff()
 			return
 		case v == failedRun && !q.mayRepeat():
-			q.deliver(kept)
+			q.deliver(q.failure)
 			return
 		case v == again && q.mayHaveRun && !q.mayRepeat():
 			q.giveUp()
@@ -140,10 +143,7 @@
 // attempt sends the request to the servers of a plan.
 func (q *request) attempt(plan dispatch.Plan, id uint64) (verdict, *kept) {
 	q.lastServer = plan.Lead.ID
-	q.h.Log.Debug("request placed", evlog.KeyRequest, q.ID, "route", q.route.Name, "prompt_tokens", q.Prompt,
-		"server", plan.Lead.ID, "helpers", len(plan.Helpers), "holds", len(plan.Holds), "loss", plan.Loss,
-		"waited_ms", (q.h.Now() - q.arrived).Duration().Milliseconds(),
-		"first_in_ms", (plan.First - q.h.Now()).Duration().Milliseconds())
+	q.placements = append(q.placements, placement{at: q.h.Now(), plan: plan})
 	helpers, release, err := q.reserve(plan, id)
 	if err != nil {
 		q.h.Scheduler.Cancelled(id)
@@ -235,6 +235,7 @@
 
 func (q *request) fault(plan dispatch.Plan, f dispatch.Fault) {
 	q.h.Scheduler.Failed(plan.Lead.ID, f)
+	q.h.Metrics.failed(q.service, plan.Lead, f)
 	q.h.Log.Info("server failed a request", evlog.KeyRequest, q.ID, "server", plan.Lead.ID, "fault", f, "reason", q.reason)
 }
 
@@ -306,7 +307,7 @@
 		return done, nil
 	}
 	q.h.Scheduler.Cancelled(id)
-	q.h.Scheduler.Failed(plan.Lead.ID, dispatch.FaultErrored)
+	q.fault(plan, dispatch.FaultErrored)
 	q.exclude = append(q.exclude, plan.Lead.ID)
 	return failedRun, k
 }
@@ -334,6 +335,10 @@
 		q.cutOff()
 		return
 	}
+	if q.failure != nil {
+		q.deliver(q.failure)
+		return
+	}
 	if q.mayHaveRun {
 		q.reject(http.StatusBadGateway, refusal.Reason)
 		return
@@ -352,6 +357,8 @@
 		panic(http.ErrAbortHandler)
 	case q.started:
 		q.cutOff()
+	case q.failure != nil:
+		q.deliver(q.failure)
 	case !q.mayHaveRun:
 		q.refuse(http.StatusServiceUnavailable, retrySoon, "no server took the request: "+q.reason)
 	case timedOut:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +16,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/core"
-	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/routing"
 	"github.com/carobstile/carobstile/internal/upstream"
 )
@@ -53,6 +53,11 @@
 
 	draining atomic.Bool
 	open     atomic.Int64
+
+	// sampled counts the requests of a second that went well.
+	sampleMu     sync.Mutex
+	sampleSecond int64
+	sampled      int
 }
 
 // Drain makes the handler refuse further requests.
@@ -84,8 +89,11 @@
 	// lastServer and reason explain the end in the log.
 	lastServer string
 	reason     string
-	stream     streamState
-	started    bool // a header was sent to the caller
+	placements []placement
+	// failure is the last failure that a server answered; it is delivered if no other server gives a better answer.
+	failure *kept
+	stream  streamState
+	started bool // a header was sent to the caller
 }
 
 // ServeHTTP serves one request.
@@ -225,19 +233,3 @@
 	q.ended(status)
 	return false
 }
-
-// ended logs and counts the end of a request.
-func (q *request) ended(status int) {
-	route, service := "", q.service
-	if q.route != nil {
-		route = q.route.Name
-	}
-	took := q.h.Now() - q.arrived
-	q.h.Metrics.ended(route, status, took)
-	level := slog.LevelDebug
-	if status >= http.StatusBadRequest || status == 0 {
-		level = slog.LevelInfo
-	}
-	q.h.Log.Log(context.Background(), level, "request ended", evlog.KeyRequest, q.ID, "route", route, "service", service,
-		"prompt_tokens", q.Prompt, "status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sends, "ms", took.Duration().Milliseconds())
-}
--- /dev/null
+++ b/internal/forward/record.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"net/http"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/evlog"
+)
+
+// sampledRequests is how many requests a second that went well are logged with their decisions. Requests that failed or
+// were late are all logged; a line takes about 10 us of processor time.
+const sampledRequests = 5
+
+// placement is a decision about a request, kept until its end so that it is logged with it.
+type placement struct {
+	at   core.Micros
+	plan dispatch.Plan
+}
+
+// ended logs and counts the end of a request.
+func (q *request) ended(status int) {
+	took := q.h.Now() - q.arrived
+	q.h.Metrics.ended(q, status, took)
+	if !q.troubled(status) && !q.h.sample() {
+		return
+	}
+	version := int64(0)
+	if q.table != nil {
+		version = q.table.Version
+	}
+	for n, p := range q.placements {
+		q.h.Log.Info("request placed", evlog.KeyRequest, q.ID, "try", n+1, "at_ms", millis(p.at-q.arrived),
+			"server", p.plan.Lead.ID, "domain", p.plan.Lead.Domain, "helpers", len(p.plan.Helpers), "holds", len(p.plan.Holds),
+			"loss", p.plan.Loss, "first_in_ms", millis(p.plan.First-p.at), "config", version)
+	}
+	q.h.Log.Info("request ended", evlog.KeyRequest, q.ID, "route", q.routeName(), "service", q.service,
+		"prompt_tokens", q.Prompt, "status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sends,
+		"first_ms", q.firstMillis(), "limit_ms", millis(q.deadline-q.arrived), "ms", millis(took), "config", version)
+}
+
+// firstEvent notes when the first event of a stream came.
+func (q *request) firstEvent() {
+	if q.stream.firstAt > 0 {
+		return // of a continued stream
+	}
+	q.stream.firstAt = q.h.Now()
+	took := q.stream.firstAt - q.arrived
+	q.stream.late = took > core.Span(q.route.FirstTarget)
+	q.h.Metrics.firstEvent(q.route.Name, took)
+}
+
+// firstMillis returns when the first event came, counted from the arrival; -1 if there was none.
+func (q *request) firstMillis() int64 {
+	if q.stream.firstAt == 0 {
+		return -1
+	}
+	return millis(q.stream.firstAt - q.arrived)
+}
+
+// troubled reports whether a request failed, was sent more than once, or had its first event late.
+func (q *request) troubled(status int) bool {
+	return status >= http.StatusBadRequest || status == 0 || q.sends > 1 || q.stream.late
+}
+
+func (q *request) routeName() string {
+	if q.route == nil {
+		return ""
+	}
+	return q.route.Name
+}
+
+func millis(m core.Micros) int64 { return m.Duration().Milliseconds() }
+
+// sample reports whether a request that went well is logged.
+func (h *Handler) sample() bool {
+	second := int64(h.Now() / core.Second)
+	h.sampleMu.Lock()
+	defer h.sampleMu.Unlock()
+	if h.sampleSecond != second {
+		h.sampleSecond, h.sampled = second, 0
+	}
+	h.sampled++
+	if h.sampled > sampledRequests {
+		h.Metrics.notLogged()
+		return false
+	}
+	return true
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/dispatch"
-	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/routing"
 	"github.com/carobstile/carobstile/internal/upstream"
 )
@@ -22,6 +22,9 @@
 	events  int
 	last    string // id of the last event delivered
 	version string
+	// firstAt is when the first event came, 0 before; late says that it was late.
+	firstAt core.Micros
+	late    bool
 }
 
 // relay passes the events of a stream on as they arrive. Only whole events are passed on, so that another server can
@@ -41,8 +44,7 @@
 		if first {
 			first = false
 			q.h.Scheduler.First(id)
-			q.h.Log.Debug("first event", evlog.KeyRequest, q.ID, "server", plan.Lead.ID,
-				"predicted_off_ms", (q.h.Now() - plan.First).Duration().Milliseconds())
+			q.firstEvent()
 		}
 		ok, err := q.pass(event, resp)
 		if err != nil {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,19 @@
 // Repeatable reports whether a request whose outcome is unknown may be sent again.
 func (r Repeat) Repeatable() bool { return r != RunOnce }
 
+// String returns the name in logs and metrics.
+func (r Repeat) String() string {
+	switch r {
+	case RunOnce:
+		return "run-once"
+	case RunAgain:
+		return "idempotent"
+	case RunResumed:
+		return "resumable"
+	}
+	return "unknown"
+}
+
 // Share is the weight of a service on a route.
 type Share struct {
 	Service string
--- a/internal/edge/metrics.go
+++ b/internal/telemetry/telemetry.go
@@ -1,4 +1,5 @@
-package edge
+// Package telemetry makes the metrics scope of a process, served as Prometheus text.
+package telemetry
 
 import (
 	"io"
@@ -11,17 +12,18 @@
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
-// metricsInterval is how often tally hands its values to the Prometheus reporter.
-const metricsInterval = time.Second
+// Interval is how often tally hands its values to the Prometheus reporter.
+const Interval = time.Second
 
-// metrics is the tally scope of the process with the handler that Prometheus reads.
-type metrics struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+// Metrics is the tally scope of the process with the handler that Prometheus reads.
+type Metrics struct {
+	Scope   tally.Scope
+	Closer  io.Closer
+	Handler http.Handler
 }
 
-func newMetrics() *metrics {
+// New returns the metrics of this process; there is one in each.
+func New() *Metrics {
 	registry := prom.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -29,6 +31,6 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "carobstile", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	}, Interval)
+	return &Metrics{Scope: scope, Closer: closer, Handler: reporter.HTTPHandler()}
 }
