--- a/internal/ctl/tools.go
+++ b/internal/ctl/tools.go
@@ -49,11 +49,18 @@
 		defer file.Close()
 		sources = append(sources, timeline.Source{Name: string(name), Reader: file})
 	}
-	stats, err := timeline.Merge(sources, query, t.print)
+	var cause timeline.Explanation
+	stats, err := timeline.Merge(sources, query, func(e timeline.Event) error {
+		cause.Add(e)
+		return t.print(e)
+	})
 	if err != nil {
 		return err
 	}
 	t.printStats(stats)
+	if t.Request != "" && !t.cli.json() {
+		fmt.Fprintf(t.cli.env.Stdout, "cause: %s\n", cause.String())
+	}
 	return nil
 }
 
--- a/internal/timeline/parse.go
+++ b/internal/timeline/parse.go
@@ -44,11 +44,12 @@
 	keyMessage = "msg"
 )
 
-// parseLine reads one line of an event log. A line without a hybrid logical clock cannot be placed and is an error.
+// parseLine reads one line of an event log, with or without what a collector of logs puts before it. A line without a
+// hybrid logical clock cannot be placed and is an error.
 func parseLine(line string) (Event, error) {
 	var e Event
 	hasClock := false
-	for rest := strings.TrimSpace(line); rest != ""; rest = strings.TrimLeft(rest, " ") {
+	for rest := withoutPrefix(strings.TrimSpace(line)); rest != ""; rest = strings.TrimLeft(rest, " ") {
 		key, tail, err := token(rest, "= ")
 		if err != nil || !strings.HasPrefix(tail, "=") {
 			return Event{}, errors.Newf("expected key=value at %q", excerpt(rest))
@@ -74,6 +75,15 @@
 	return e, nil
 }
 
+// withoutPrefix drops words that a collector put before the first pair, such as a time and the name of a host.
+func withoutPrefix(line string) string {
+	prefix, _, found := strings.Cut(line, " "+keyTime+"=")
+	if !found || strings.ContainsAny(prefix, `="`) {
+		return line
+	}
+	return line[len(prefix)+1:]
+}
+
 func (e *Event) set(key, value string) {
 	switch key {
 	case keyTime: // the hybrid logical clock holds the time
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -108,3 +108,32 @@
 		}
 	})
 }
+
+// Guards against logs of a collector that cannot be read because of what it puts before each line.
+func TestPrefixesOfCollectorsAreSkipped(t *testing.T) {
+	log := "  -3.5 host-1 time=2026-01-01T00:00:00Z level=INFO msg=\"request ended\" process=a request=r hlc=5.0\n" +
+		"a=b time=2026-01-01T00:00:00Z msg=x request=r hlc=6.0\n"
+	got, stats := merged(t, Query{Request: "r"}, log)
+	require.Zero(t, stats.Broken)
+	require.Len(t, got, 2)
+	require.Equal(t, "a", got[0].Process)
+	value, ok := got[1].Attr("a")
+	require.True(t, ok)
+	require.Equal(t, "b", value)
+}
+
+// Guards against an explanation that leaves out the reason, the servers tried or how they failed.
+func TestExplanation(t *testing.T) {
+	log := `msg="server failed a request" process=d1 request=r server=s1 fault=broken hlc=2.0
+msg="request placed" process=d1 request=r server=s1 try=1 hlc=3.0
+msg="request ended" process=d1 request=r status=502 reason="servers failed the request: EOF" ms=12 sends=1 hlc=4.0
+`
+	var x Explanation
+	require.Contains(t, x.String(), "no log names this request")
+	events, _ := merged(t, Query{Request: "r"}, log)
+	for _, e := range events {
+		x.Add(e)
+	}
+	require.Equal(t, "status 502 on d1 after 12 ms and 1 sends; because servers failed the request: EOF; placed on s1; "+
+		"failed by s1 (broken)", x.String())
+}
