--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -38,7 +38,7 @@
 var kinds = []*requestKind{
 	{name: "stream", prefix: "/stream/", kind: "streaming", service: engines, weight: 5, attempts: 2, limit: 4 * time.Second, prompt: shortPrompt},
 	{name: "long", prefix: "/longstream/", kind: "streaming", service: engines, weight: 1, attempts: 2, limit: 6 * time.Second, prompt: longPrompt},
-	{name: "once", prefix: "/once/", kind: "non_idempotent", service: plain, weight: 4, attempts: 1, limit: 1500 * time.Millisecond},
+	{name: "once", prefix: "/once/", kind: "non_idempotent", service: plain, weight: 4, attempts: 2, limit: 1500 * time.Millisecond},
 	{name: "again", prefix: "/again/", kind: "idempotent", service: plain, weight: 3, attempts: 2, limit: 1500 * time.Millisecond},
 }
 
