Spell the sender of a datagram out for its handler

Cause: since datagrams name their sender in short, a daemon that learned from one that it was behind had no address to fetch the newer copy from. Until a whole summary came, up to four seconds later, they stayed behind.

Test: the link replaces the short form before the handler sees it; without that the new test gets an empty address.

--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -132,6 +132,7 @@
 		return
 	}
 	restarted := l.Meet(p.GetSender())
+	l.spellOut(p)
 	l.heard(p)
 	l.handler.Packet(p, restarted)
 }
@@ -160,6 +161,19 @@
 	return restarted
 }
 
+// spellOut replaces the short form of a sender by what is known of it, so that the handler finds its addresses.
+func (l *Link) spellOut(p *carobstilev1.EdgePacket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.neighbors[p.GetSender().GetName()]
+	if p.GetSender().GetPacketAddress() != "" || n == nil {
+		return
+	}
+	whole := proto.Clone(n.member).(*carobstilev1.EdgeMember)
+	whole.Leaving = p.GetSender().GetLeaving()
+	p.Sender = whole
+}
+
 // rebooted is Meet for the short form of a sender.
 func (l *Link) rebooted(m *carobstilev1.EdgeMember) bool {
 	l.mu.Lock()
--- a/internal/neighbors/link_test.go
+++ b/internal/neighbors/link_test.go
@@ -19,6 +19,7 @@
 	mu        sync.Mutex
 	placed    map[uint64]bool
 	restarted int
+	sender    *carobstilev1.EdgeMember
 	joined    int
 	away      int
 }
@@ -28,6 +29,7 @@
 	defer r.mu.Unlock()
 	for _, j := range p.GetPlaced() {
 		r.placed[j.GetId()] = true
+		r.sender = p.GetSender()
 	}
 	if restarted {
 		r.restarted++
@@ -119,3 +121,18 @@
 	second.Meet(a.self)
 	require.Eventually(t, ra.has(func() bool { return ra.restarted == 1 }), 2*time.Second, time.Millisecond)
 }
+
+// Guards against a handler that cannot reach the sender of a datagram because only summaries spell it out.
+func TestSendersAreSpelledOut(t *testing.T) {
+	a, _ := link(t, "a", 1)
+	b, heard := link(t, "b", 2)
+	a.Meet(b.self)
+	b.Meet(a.self)
+	require.Eventually(t, func() bool { return len(a.Live()) == 2 && len(b.Live()) == 2 }, 3*time.Second, 10*time.Millisecond)
+	a.Tell(true, func(p *carobstilev1.EdgePacket) { p.Placed = append(p.Placed, &carobstilev1.EdgeJob{Id: 7}) })
+	require.Eventually(t, heard.has(func() bool { return heard.placed[7] }), 3*time.Second, 10*time.Millisecond)
+	heard.mu.Lock()
+	defer heard.mu.Unlock()
+	require.Equal(t, a.self.GetPacketAddress(), heard.sender.GetPacketAddress())
+	require.EqualValues(t, 1, heard.sender.GetBoot())
+}
