Cut a stream off when the server that was to continue it fails

Cause: a stream that had begun was moved to another server, which answered 500. Its answer was handled as that of a new request: with no attempts left it was delivered, so that the body of the failure was appended to the stream and the stream ended as complete. The soak showed it as ORDER in its schedule of every fault: engines that cut streams beside engines that fail.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -250,6 +250,10 @@
 	if q.route.Stream && resp.Status < http.StatusMultipleChoices {
 		return q.relay(watch, plan, id, resp, a), nil
 	}
+	if q.started {
+		// Its body is no part of the stream that the caller has begun to get.
+		return q.broken(plan, id, dispatch.FaultErrored, "server failed the continued stream"), nil
+	}
 	return q.whole(plan, id, resp)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -57,13 +58,47 @@
 func TestSoak(t *testing.T) {
 	for _, seed := range []uint64{7, 8} {
 		s := Schedule{Seed: seed, Daemons: 4, Engines: 4, Plain: 2, Callers: 12, FaultsMs: 8_000}
-		t.Run("seed", func(t *testing.T) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			playOnce(t, Generate(s, 16))
 		})
 	}
 }
 
+// Guards against broken promises under each kind of fault, overlapping; scripts/mutations shows that it finds the removal of
+// each mechanism.
+func TestEveryFault(t *testing.T) {
+	t.Parallel()
+	playOnce(t, everyFault())
+}
+
+// everyFault returns a schedule that holds each variant of each kind of fault; wrong answers come from every server.
+func everyFault() Schedule {
+	const step, lasts = 300, 1_200 // ms
+	s := Schedule{Seed: 1, Daemons: 4, Engines: 4, Plain: 3, Callers: 24}
+	at := 0
+	add := func(f Fault) {
+		f.AtMs, f.ForMs = at, lasts
+		s.Faults = append(s.Faults, f)
+	}
+	for n, c := range choices {
+		variants := c.variants
+		if len(variants) == 0 {
+			variants = []string{""}
+		}
+		for i, v := range variants {
+			add(Fault{Kind: c.kind, Target: n + i, Variant: v})
+			if c.kind == ServerFault {
+				add(Fault{Kind: c.kind, Target: i % s.Engines, Variant: v})
+				add(Fault{Kind: c.kind, Target: s.Engines + i%s.Plain, Variant: v})
+			}
+			at += step
+		}
+	}
+	s.FaultsMs = at
+	return s
+}
+
 // Guards against the faults that the soak has found; each file names its cause.
 func TestRegressions(t *testing.T) {
 	files, err := filepath.Glob("testdata/regressions/*.json")
