Remove fields of the platform's objects that nothing uses

Report's counts and birth, the chunk and the usual answer of the cost model, and the health path of a service were decoded and never read.

--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -27,14 +27,10 @@
 	Withdraw(ctx context.Context, name string) error
 }
 
-// Report is what a backend server says of itself. Its figures are some hundred milliseconds old.
+// Report is what a backend server says of itself, as of some hundred milliseconds ago.
 type Report struct {
 	// Pace is how many times slower than its cost model the server works; 0 if it does not say.
-	Pace             float64
-	Running, Waiting int
-	// MemoryUsed is in tokens.
-	MemoryUsed int
-	Born       int64
+	Pace float64
 }
 
 // Engines asks backend servers for reports and gives them orders.
--- a/internal/enginecost/enginecost.go
+++ b/internal/enginecost/enginecost.go
@@ -16,10 +16,6 @@
 	// ReadTokensPerMs is the speed of reading a prompt; PairMsPerM is the cost of a million pairs of a token and an
 	// earlier one.
 	ReadTokensPerMs, PairMsPerM float64
-	// ChunkTokens bounds what is read in one step.
-	ChunkTokens int
-	// UsualAnswer is the mean length of answers in tokens.
-	UsualAnswer int
 }
 
 // ReadMs returns the time that one engine needs to read a prompt, without the steps of writers in between.
@@ -46,7 +42,6 @@
 		defaultKV     = 100_000
 		defaultStride = 1
 		defaultStepMs = 10
-		defaultAnswer = 500
 	)
 	if m.Slots <= 0 {
 		m.Slots = defaultSlots
@@ -60,7 +55,4 @@
 	if m.StepMs <= 0 {
 		m.StepMs = defaultStepMs
 	}
-	if m.UsualAnswer <= 0 {
-		m.UsualAnswer = defaultAnswer
-	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -66,8 +66,7 @@
 
 // Service is a set of interchangeable backend servers.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConns is how many connections one server accepts from all daemons together; 0 means no limit.
 	MaxConns int
 	// Engine is nil for plain services.
