--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,6 +22,7 @@
 	"github.com/carobstile/carobstile/internal/retrybudget"
 	"github.com/carobstile/carobstile/internal/routing"
 	"github.com/carobstile/carobstile/internal/shell"
+	"github.com/carobstile/carobstile/internal/telemetry"
 	"github.com/carobstile/carobstile/internal/upstream"
 )
 
@@ -29,6 +31,8 @@
 	crashLimit = 3
 	// unknownDaemons is among how many daemons budgets are divided before any neighbour is known.
 	unknownDaemons = 16
+	// runningShare times its slots is how many connections to a server requests may use that run there or wait.
+	runningShare = 2
 	// housekeepEvery is how often idle connections and lapsed entries are looked at.
 	housekeepEvery = 250 * time.Millisecond
 )
@@ -51,7 +55,7 @@
 	crashes    *crashes.Set
 	config     *directory.Follower
 	entries    *directory.Follower
-	metrics    *metrics
+	metrics    *telemetry.Metrics
 
 	serversMu sync.Mutex
 	servers   *serverList
@@ -72,7 +76,7 @@
 func Start(s *Settings, env *app.Env, a Adapter) error {
 	d := &Daemon{
 		settings: s, adapter: a, log: env.Log, start: time.Now(), boot: rand.Uint64(), pool: upstream.NewPool(),
-		crashes: crashes.NewSet(crashLimit), paces: map[string]float64{}, stopping: make(chan struct{}), metrics: newMetrics(),
+		crashes: crashes.NewSet(crashLimit), paces: map[string]float64{}, stopping: make(chan struct{}), metrics: telemetry.New(),
 	}
 	d.changeable.Store(s)
 	s.limitMemory()
@@ -94,7 +98,7 @@
 	d.handler = &forward.Handler{
 		Dialect: a.Codec, Scheduler: d.scheduler, Budget: d.budget, Suspects: (*suspects)(d), Pool: d.pool,
 		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
-		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.scope),
+		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.Scope),
 	}
 	return d.addActors(env)
 }
@@ -114,7 +118,7 @@
 		return err
 	}
 	for _, f := range []func(context.Context){
-		d.config.Run, d.entries.Run, d.link.Run, d.keepMembers, d.pollReports, d.housekeep, d.fetchAtStart,
+		d.config.Run, d.entries.Run, d.link.Run, d.keepMembers, d.pollReports, d.housekeep, d.fetchAtStart, d.reportBeliefs,
 	} {
 		env.Background(f)
 	}
@@ -196,14 +200,28 @@
 		}
 		d.budget.SetDaemons(d.link.Known())
 		d.scheduler.Step(dispatch.DaemonsKnown{Count: len(d.link.Live())})
-		d.pool.Retain(func(t upstream.Target) bool {
-			address, ok := d.addressOf(t.ID)
-			return ok && address == t.Address
-		})
+		d.pool.Retain(d.keptConnections)
 		d.scheduler.Step(dispatch.Tick{Now: d.now()})
 	})
 }
 
+// keptConnections returns how many idle connections to a server this daemon keeps. The connections that a server accepts
+// are shared by all daemons, and what runs and waits on it needs some of them.
+func (d *Daemon) keptConnections(t upstream.Target) int {
+	d.serversMu.Lock()
+	s, ok := d.servers.servers[t.ID]
+	d.serversMu.Unlock()
+	table := d.table.Load()
+	if !ok || s.Address != t.Address || table == nil {
+		return 0
+	}
+	service := table.Service(s.Service)
+	if service == nil || service.MaxConns <= 0 {
+		return math.MaxInt
+	}
+	return max(0, service.MaxConns-runningShare*s.Slots) / d.link.Known()
+}
+
 // suspects implements forward.Suspects on the set of crash records.
 type suspects Daemon
 
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -132,6 +132,7 @@
 		return
 	}
 	restarted := l.Meet(p.GetSender())
+	l.spellOut(p)
 	l.heard(p)
 	l.handler.Packet(p, restarted)
 }
@@ -160,6 +161,19 @@
 	return restarted
 }
 
+// spellOut replaces the short form of a sender by what is known of it, so that the handler finds its addresses.
+func (l *Link) spellOut(p *carobstilev1.EdgePacket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.neighbors[p.GetSender().GetName()]
+	if p.GetSender().GetPacketAddress() != "" || n == nil {
+		return
+	}
+	whole := proto.Clone(n.member).(*carobstilev1.EdgeMember)
+	whole.Leaving = p.GetSender().GetLeaving()
+	p.Sender = whole
+}
+
 // rebooted is Meet for the short form of a sender.
 func (l *Link) rebooted(m *carobstilev1.EdgeMember) bool {
 	l.mu.Lock()
@@ -380,7 +394,7 @@
 // send sends a packet, in several datagrams if it holds many jobs.
 func (l *Link) send(p *carobstilev1.EdgePacket, all bool) {
 	l.mu.Lock()
-	p.Sender = l.sender(p.GetSummary())
+	p.Sender = l.sender(all)
 	var to []netip.AddrPort
 	for name, n := range l.neighbors {
 		if (all || !n.away) && l.inCell(name) {
@@ -397,7 +411,8 @@
 	l.sendOne(p, to)
 }
 
-// sender returns the sender of a datagram; only summaries spell it out, which saves half of the bytes of the others.
+// sender returns the sender of a datagram. Only greetings and the summaries that go to all spell it out; bytes between
+// failure domains cost money, and the addresses were half of most datagrams.
 func (l *Link) sender(whole bool) *carobstilev1.EdgeMember {
 	if whole {
 		return l.self
