Judge planned work in a calm schedule of its own

Cause: the mutations of leaving servers, newer configurations and planned stops were not found by the schedule of every fault. Its faults follow one another so closely that no daemon is ever in touch for 4 s, and the promises with a bound in time were not judged. A server also ended 0.5 s after the time at which requests must have stopped; it now stays 2 s.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -32,7 +32,7 @@
 // drainFor is how long a server that leaves goes on serving, and stoppedAfter how much later its process ends.
 const (
 	drainFor     = 3 * time.Second
-	stoppedAfter = 500 * time.Millisecond
+	stoppedAfter = 2 * time.Second
 )
 
 // injector carries out a schedule and notes in the judge what is disturbed while.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,6 +72,26 @@
 	playOnce(t, everyFault())
 }
 
+// Guards against broken promises of planned work alone, when the bounds in time hold for all daemons.
+func TestPlannedWork(t *testing.T) {
+	t.Parallel()
+	s := Schedule{Seed: 2, Daemons: 4, Engines: 4, Plain: 3, Callers: 24, FaultsMs: 4_000}
+	for i, f := range []Fault{
+		{Kind: ConfigRoute, ForMs: 5_000},
+		{Kind: ConfigKey, ForMs: 5_000},
+		{Kind: ServerDrain, Target: 0, ForMs: 500},
+		{Kind: ServerDrain, Target: 5, ForMs: 500},
+		{Kind: ServerDrain, Target: 1, ForMs: 500},
+		{Kind: DaemonReload, Target: 1},
+		{Kind: DaemonStop, Target: 0, ForMs: 200},
+		{Kind: DaemonStop, Target: 2, ForMs: 200},
+	} {
+		f.AtMs = 400 * (i + 1)
+		s.Faults = append(s.Faults, f)
+	}
+	playOnce(t, s)
+}
+
 // everyFault returns a schedule that holds each variant of each kind of fault; wrong answers come from every server.
 func everyFault() Schedule {
 	const step, lasts = 300, 1_200 // ms
