Give up quiet streams only for servers that cannot be reached

From 19 s on servers lost answers: connections of single requests were reset. What was cancelled had used engine time, and its second placement was refused or failed too.

Ruled out: dead engines (no 'engine gives no report' in the log), the store (regained before).

Only a server to which no connection was made, or that gave no report, now counts against what runs on it; a stream whose own connection breaks notices by itself. TestOneBrokenRequestCondemnsNoOther fails with the former rule.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -87,11 +87,12 @@
 	return c.out
 }
 
-// Suspect reports whether a server has failed and not answered since. One that is not listed any more still
-// serves what it runs.
-func (c *Core) Suspect(now core.Micros, id string) bool {
+// Unreachable reports whether a server could not be reached and has not answered since, which says that what it runs is
+// lost too. A connection that broke or a request that stalled says nothing of the others on the server: each has a
+// connection of its own that breaks with the server. A server that is not listed any more still serves what it runs.
+func (c *Core) Unreachable(now core.Micros, id string) bool {
 	s := c.servers[id]
-	return s != nil && s.suspect(now)
+	return s != nil && s.unreachable && s.suspect(now)
 }
 
 func (c *Core) stepPeer(ev Event) {
@@ -147,7 +148,7 @@
 		return
 	}
 	if e.Reached {
-		s.suspectUntil = 0
+		s.suspectUntil, s.unreachable = 0, false
 	}
 	if e.Pace > 0 {
 		s.pace = e.Pace
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -198,11 +198,26 @@
 		id := uint64(1 + i)
 		require.Equal(t, "p01", assigned(c.Step(Arrived{Now: 20, Work: plainWork(id, 20)}), id).Lead.ID)
 	}
-	require.True(t, c.Suspect(20, "p00"))
-	require.False(t, c.Suspect(10+suspicion, "p00"))
+	require.True(t, c.Unreachable(20, "p00"))
+	require.False(t, c.Unreachable(10+suspicion, "p00"))
 	c.Step(ServerFailed{Now: second, Server: "p00", Fault: FaultSilent})
 	c.Step(ServerAlive{Now: second, Server: "p00", Reached: true})
-	require.False(t, c.Suspect(second, "p00"))
+	require.Zero(t, c.servers["p00"].suspectUntil)
+	require.False(t, c.Unreachable(second, "p00"))
+}
+
+// Guards against requests that are given up because another one on the same server broke off or stalled.
+func TestOneBrokenRequestCondemnsNoOther(t *testing.T) {
+	for _, f := range []Fault{FaultBroken, FaultSilent, FaultErrored, FaultRefused} {
+		c := fleet(0, 2)
+		c.Step(ServerFailed{Now: 10, Server: "p00", Fault: f})
+		require.False(t, c.Unreachable(20, "p00"), f)
+	}
+	c := fleet(0, 2)
+	c.Step(ServerFailed{Now: 10, Server: "p00", Fault: FaultUnreachable})
+	require.True(t, c.Unreachable(20, "p00"))
+	c.Step(ServerAlive{Now: 30, Server: "p00", Reached: true})
+	require.False(t, c.Unreachable(40, "p00"))
 }
 
 // Guards against a neighbour's commitment that is ignored, so that both choose the same slots.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -64,8 +64,10 @@
 	reads         []read
 	pace          float64
 	suspectUntil  core.Micros
-	strikes       int
-	failureRate   float64
+	// unreachable is set while the last thing known of the server is that no connection to it was made.
+	unreachable bool
+	strikes     int
+	failureRate float64
 }
 
 func newServer(s Server, model *enginecost.Model) *server {
@@ -131,6 +133,7 @@
 
 func (s *server) failed(now core.Micros, f Fault) {
 	s.failureRate += failureWeight * (1 - s.failureRate)
+	s.unreachable = f == FaultUnreachable
 	switch f {
 	case FaultErrored, FaultRefused:
 		return
@@ -145,5 +148,5 @@
 
 func (s *server) succeeded() {
 	s.failureRate -= failureWeight * s.failureRate
-	s.strikes = 0
+	s.strikes, s.unreachable = 0, false
 }
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -88,11 +88,11 @@
 	}
 }
 
-// Suspect implements forward.Scheduler.
-func (s *scheduler) Suspect(server string) bool {
+// Unreachable implements forward.Scheduler.
+func (s *scheduler) Unreachable(server string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Suspect(s.now(), server)
+	return s.core.Unreachable(s.now(), server)
 }
 
 // Step applies an event of another source.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -77,8 +77,8 @@
 	Finished(id uint64)
 	Cancelled(id uint64)
 	Failed(server string, f dispatch.Fault)
-	// Suspect reports whether a server has failed and not answered since.
-	Suspect(server string) bool
+	// Unreachable reports whether a server could not be reached and has not answered since.
+	Unreachable(server string) bool
 }
 
 // Refusal is the error of a request for which no server was found.
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -60,13 +60,13 @@
 	w.timer.Reset(watchEvery)
 }
 
-// failing reports whether one of the servers that the stream needs has failed.
+// failing reports whether one of the servers that the stream needs cannot be reached.
 func (w *watch) failing() bool {
-	if w.q.h.Scheduler.Suspect(w.plan.Lead.ID) {
+	if w.q.h.Scheduler.Unreachable(w.plan.Lead.ID) {
 		return true
 	}
 	for _, s := range w.plan.Helpers {
-		if w.first && w.q.h.Scheduler.Suspect(s.ID) {
+		if w.first && w.q.h.Scheduler.Unreachable(s.ID) {
 			return true
 		}
 	}
