Judge the budget of repeats by the rule's windows, and under failing servers

The judge counted the requests of two windows together, twice what the rule allows, and the schedule of every fault has too few repeats.

The log's limit of a request that was refused before it had one is 0 instead of a negative number.

--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -36,7 +36,7 @@
 	}
 	q.h.Log.Info("request ended", evlog.KeyRequest, q.ID, "route", q.routeName(), "service", q.service,
 		"prompt_tokens", q.Prompt, "status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sends,
-		"first_ms", q.firstMillis(), "limit_ms", millis(q.deadline-q.arrived), "ms", millis(took), "config", version)
+		"first_ms", q.firstMillis(), "limit_ms", millis(max(0, q.deadline-q.arrived)), "ms", millis(took), "config", version)
 }
 
 // firstEvent notes when the first event of a stream came.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -230,21 +230,26 @@
 	}
 }
 
-// checkWindow checks the shared budget of repeats in the window that ends now.
+// checkWindow checks the shared budget of repeats in the window that ends now. The requests are those of that window, of the
+// one before it or of the one half a window before, whichever has most.
 func (j *judge) checkWindow(now time.Time, service string) {
-	repeats, firsts := 0, 0
+	const half = retryWindow / 2
+	var firsts [4]int // by half windows, the newest first
+	repeats := 0
 	for i := len(j.sends) - 1; i >= 0 && now.Sub(j.sends[i].at) < 2*retryWindow; i-- {
 		s := j.sends[i]
+		age := now.Sub(s.at)
 		switch {
 		case s.service != service:
 		case !s.repeat:
-			firsts++
-		case now.Sub(s.at) < retryWindow:
+			firsts[max(0, int(age/half))]++
+		case age < retryWindow:
 			repeats++
 		}
 	}
-	if float64(repeats) > retryRatio*float64(firsts)+retryAllowance {
-		j.add("BUDGET", "", "%d repeats at %s within %v, for %d requests", repeats, service, retryWindow, firsts)
+	requests := max(firsts[0]+firsts[1], firsts[1]+firsts[2], firsts[2]+firsts[3])
+	if float64(repeats) > retryRatio*float64(requests)+retryAllowance {
+		j.add("BUDGET", "", "%d repeats at %s within %v, for %d requests", repeats, service, retryWindow, requests)
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -92,6 +92,16 @@
 	playOnce(t, s)
 }
 
+// Guards against repeats beyond the shared budget while all servers of a service fail.
+func TestRetryBudget(t *testing.T) {
+	t.Parallel()
+	s := Schedule{Seed: 3, Daemons: 4, Engines: 2, Plain: 3, Callers: 60, FaultsMs: 1_000}
+	for i := range s.Plain {
+		s.Faults = append(s.Faults, Fault{Kind: ServerFault, Target: s.Engines + i, Variant: "fails", ForMs: 12_000})
+	}
+	playOnce(t, s)
+}
+
 // everyFault returns a schedule that holds each variant of each kind of fault; wrong answers come from every server.
 func everyFault() Schedule {
 	const step, lasts = 300, 1_200 // ms
