--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -61,16 +61,23 @@
 	id, path, key, body string
 	kind                *requestKind
 	daemon              int
-	sent, ended         time.Time
+	sent                time.Time
 	// varies is the route or key that comes and goes; "" for others.
 	varies string
 
+	// What follows is the judge's, under its lock, once the request has begun.
+	reply
+	servers []string
+	runs    int
+}
+
+// reply is what a caller got.
+type reply struct {
+	ended   time.Time
 	status  int
 	stamped bool
 	answer  string
 	err     error
-	servers []string
-	runs    int
 }
 
 // caller sends one request after the other over connections that it keeps until the daemon closes them.
@@ -93,9 +100,8 @@
 func (c *caller) run(ctx context.Context) {
 	home := c.random.IntN(len(c.cluster.daemons))
 	for ctx.Err() == nil {
-		r := c.next(home)
-		c.send(r)
-		if r.err != nil || r.status == http.StatusServiceUnavailable {
+		got := c.send(c.next(home))
+		if got.err != nil || got.status == http.StatusServiceUnavailable {
 			home = c.random.IntN(len(c.cluster.daemons)) // as the platform sends new connections elsewhere
 		}
 		select {
@@ -140,7 +146,7 @@
 }
 
 // send sends a request and hands what came back to the judge.
-func (c *caller) send(r *request) {
+func (c *caller) send(r *request) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), r.kind.limit+callerSlack)
 	defer cancel()
 	req, err := standin.Call{
@@ -153,15 +159,17 @@
 	r.sent = time.Now()
 	c.judge.begin(r)
 	resp, err := c.http.Do(req.WithContext(ctx))
+	got := reply{}
 	if err == nil {
-		r.status, r.stamped = resp.StatusCode, resp.Header.Get("X-Stamp") != ""
+		got.status, got.stamped = resp.StatusCode, resp.Header.Get("X-Stamp") != ""
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		r.answer = string(data)
+		got.answer = string(data)
 	}
-	r.err, r.ended = err, time.Now()
-	c.judge.end(r)
+	got.err, got.ended = err, time.Now()
+	c.judge.end(r, got)
+	return got
 }
 
 // checkStream returns what is wrong with the events of a stream; whole says that it ended as complete.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -262,9 +262,10 @@
 }
 
 // end judges what the caller got.
-func (j *judge) end(r *request) {
+func (j *judge) end(r *request, got reply) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	r.reply = got
 	complete := r.err == nil
 	j.counts[outcome(r)]++
 	j.checkAnswer(r, complete)
