Hand out ports of tests and soak from ranges that do not overlap

Cause: three packages looked for free ports in ways of their own. The soak's range (14000 to 19999) lay over that of the end-to-end tests (12000 to 17899) and of development deployments, and go test runs the packages side by side, so that one could take a port between the other's choice and use. Not seen to fail; found by reading.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -83,7 +83,7 @@
 func startWith(t *testing.T, change func(plan *devdeploy.Plan), edit func(doc *config.Document)) *deployment {
 	for range startTries {
 		plan := devdeploy.Plan{
-			Dir: t.TempDir(), BasePort: ports.take(t), Hosts: 3, Domains: 3, EnginesPerDomain: 1, LameDuckMs: 300,
+			Dir: t.TempDir(), BasePort: takePorts(t), Hosts: 3, Domains: 3, EnginesPerDomain: 1, LameDuckMs: 300,
 			StopGraceMs: 20_000, Engine: fakeengine.Settings{TimeScale: 4, KVTokens: 50_000},
 		}
 		if change != nil {
