Keep the platform's names out of the soak and of forward

Cause: the soak named fields and kinds of the platform's routes and two of its headers, and forward named the header of the request id. Routes, stamps and the passed-on key are now described by the stand-ins, and the adapter names the request in the daemon's own answers.

The soak's judge had two copies of one function and a number scheme for what is disturbed; both are replaced. The check of streams compares whole events. No check is looser.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,9 +16,6 @@
 	"github.com/carobstile/carobstile/internal/upstream"
 )
 
-// requestIDHeader is echoed in the daemon's own answers.
-const requestIDHeader = "X-Request-Id"
-
 const (
 	// maxPlacements bounds how often one request is given servers, refused sends included.
 	maxPlacements = 6
@@ -236,7 +233,7 @@
 func (q *request) fault(plan dispatch.Plan, f dispatch.Fault) {
 	q.h.Scheduler.Failed(plan.Lead.ID, f)
 	q.h.Metrics.failed(q.service, plan.Lead, f)
-	q.h.Log.Info("server failed a request", evlog.KeyRequest, q.ID, "server", plan.Lead.ID, "fault", f, "reason", q.reason)
+	q.h.Log.Info(evlog.MessageFailed, evlog.KeyRequest, q.ID, "server", plan.Lead.ID, "fault", f, "reason", q.reason)
 }
 
 // answered handles a response header.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -223,9 +223,7 @@
 // reject answers with a failure of this daemon. It returns false.
 func (q *request) reject(status int, reason string) bool {
 	header := q.w.Header()
-	if q.ID != "" {
-		header.Set(requestIDHeader, q.ID)
-	}
+	q.h.Dialect.Echo(header, q.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	q.w.WriteHeader(status)
 	_, _ = io.WriteString(q.w, reason+"\n") // the caller has left if this fails
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -65,6 +65,8 @@
 	Outgoing(h http.Header, s Send) http.Header
 	// Answer reads the header of a server's response to the request with the given id.
 	Answer(status int, h http.Header) Answer
+	// Echo names the request with the given id in the header of the daemon's own answer.
+	Echo(h http.Header, id string)
 	// Owns reports whether a response header belongs to the request with the given id.
 	Owns(h http.Header, id string) bool
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,41 +16,52 @@
 
 // requestKind is a kind of request of the callers.
 type requestKind struct {
-	name, prefix, kind, service string
-	weight                      int
-	attempts                    int
-	limit                       time.Duration
-	prompt                      int
+	name, prefix, service string
+	kind                  standin.Kind
+	weight                int
+	attempts              int
+	limit                 time.Duration
+	prompt                int
 }
 
-func (k *requestKind) once() bool   { return k.kind == "non_idempotent" }
-func (k *requestKind) stream() bool { return k.kind == "streaming" }
+func (k *requestKind) once() bool   { return k.kind == standin.Once }
+func (k *requestKind) stream() bool { return k.kind == standin.Stream }
 
 func (k *requestKind) route() standin.Route {
-	return standin.NewRoute(k.name, host, k.prefix, k.kind, k.service, map[string]any{
-		"Attempts": k.attempts, "TimeoutMs": k.limit.Milliseconds(), "Resumable": k.stream(), "Affinity": k.stream(),
-	})
+	return standin.RouteSpec{
+		Name: k.name, Host: host, Prefix: k.prefix, Service: k.service, Kind: k.kind, Attempts: k.attempts, Timeout: k.limit,
+	}.Route()
 }
 
-// kinds are the usual kinds of request, with about the limits of the platform's sheets.
+// Limits of requests, about those of the platform's sheets.
+const (
+	plainLimit  = 1500 * time.Millisecond
+	streamLimit = 4 * time.Second
+	longLimit   = 6 * time.Second
+	attempts    = 2
+)
+
+// kinds are the usual kinds of request. The weights give each kind a few requests a second.
 var kinds = []*requestKind{
-	{name: "stream", prefix: "/stream/", kind: "streaming", service: engines, weight: 5, attempts: 2, limit: 4 * time.Second, prompt: shortPrompt},
-	{name: "long", prefix: "/longstream/", kind: "streaming", service: engines, weight: 1, attempts: 2, limit: 6 * time.Second, prompt: longPrompt},
-	{name: "once", prefix: "/once/", kind: "non_idempotent", service: plain, weight: 4, attempts: 2, limit: 1500 * time.Millisecond},
-	{name: "again", prefix: "/again/", kind: "idempotent", service: plain, weight: 3, attempts: 2, limit: 1500 * time.Millisecond},
+	{"stream", "/stream/", engines, standin.Stream, 5, attempts, streamLimit, shortPrompt},
+	{"long", "/longstream/", engines, standin.Stream, 1, attempts, longLimit, longPrompt},
+	{"once", "/once/", plain, standin.Once, 4, attempts, plainLimit, 0},
+	{"again", "/again/", plain, standin.Again, 3, attempts, plainLimit, 0},
 }
 
-// probeKind is for routes and keys that come and go.
-var probeKind = &requestKind{name: "probe", kind: "idempotent", service: plain, attempts: 2, limit: 1500 * time.Millisecond}
+// probeKind is for routes and keys that come and go; its prefix is that of the route.
+func probeKind(prefix string) *requestKind {
+	return &requestKind{name: "probe", prefix: prefix, service: plain, kind: standin.Again, attempts: attempts, limit: plainLimit}
+}
 
 const (
 	// callerPause is the mean pause between the requests of one caller.
 	callerPause = 100 * time.Millisecond
-	// shareOfProbes is the share of requests that use a route or key which comes and goes.
-	shareOfProbes = 0.15
+	// probeShare is the share of requests that use a route or key which comes and goes.
+	probeShare = 0.15
 	// bodyBytes is enough for a body to leave in several writes.
 	bodyBytes = 6_000
-	// callerSlack is how much longer than its limit a caller waits before it counts the answer as missing.
+	// callerSlack is how much longer than its limit a caller waits, so that a late end is seen.
 	callerSlack = time.Second
 )
 
@@ -115,18 +124,17 @@
 func (c *caller) next(daemon int) *request {
 	id := "r" + strconv.FormatInt(lastRequest.Add(1), 10)
 	r := &request{id: id, daemon: daemon, key: baseKey, body: id + strings.Repeat("x", c.random.IntN(bodyBytes))}
-	if c.random.Float64() < shareOfProbes {
-		if r.varies = c.judge.someVarying(c.random); r.varies != "" {
-			r.kind, r.path = probeKind, "/again/"+id
-			if strings.HasPrefix(r.varies, "/") {
-				r.path = r.varies + id
-			} else {
-				r.key = r.varies
-			}
-			return r
-		}
+	if c.random.Float64() < probeShare {
+		r.varies = c.judge.someVarying(c.random)
+	}
+	switch {
+	case strings.HasPrefix(r.varies, "/"):
+		r.kind = probeKind(r.varies)
+	case r.varies != "":
+		r.kind, r.key = probeKind("/again/"), r.varies
+	default:
+		r.kind = c.draw()
 	}
-	r.kind = c.draw()
 	r.path = r.kind.prefix + id
 	return r
 }
@@ -161,7 +169,7 @@
 	resp, err := c.http.Do(req.WithContext(ctx))
 	got := reply{}
 	if err == nil {
-		got.status, got.stamped = resp.StatusCode, resp.Header.Get("X-Stamp") != ""
+		got.status, got.stamped = resp.StatusCode, standin.Stamped(resp.Header)
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
@@ -174,25 +182,16 @@
 
 // checkStream returns what is wrong with the events of a stream; whole says that it ended as complete.
 func checkStream(r *request, whole bool) string {
-	expected := 1
-	scanner := bufio.NewScanner(bytes.NewReader([]byte(r.answer)))
-	scanner.Buffer(nil, 1<<20)
-	for scanner.Scan() {
-		line := scanner.Text()
-		id, isID := strings.CutPrefix(line, "id: ")
-		data, isData := strings.CutPrefix(line, "data: ")
-		last := !strings.HasSuffix(r.answer, line) // a broken stream may end inside a line
-		switch {
-		case isID && last && id != strconv.Itoa(expected):
-			return fmt.Sprintf("event %s where %d was due", id, expected)
-		case isData && last && data != fmt.Sprintf("%s %s %d", r.id, r.body, expected):
-			return fmt.Sprintf("event %d holds other data", expected)
-		case isData:
-			expected++
+	events := strings.Split(r.answer, "\n\n")
+	rest := events[len(events)-1]
+	events = events[:len(events)-1]
+	for i, event := range events {
+		if event != fmt.Sprintf("id: %d\ndata: %s", i+1, answerText(r.id, r.body, i+1)) {
+			return fmt.Sprintf("event %d of the answer is another one", i+1)
 		}
 	}
-	if whole && expected != streamEvents+1 {
-		return fmt.Sprintf("complete after %d events of %d", expected-1, streamEvents)
+	if whole && (len(events) != streamEvents || rest != "") {
+		return fmt.Sprintf("complete after %d events of %d and %d bytes", len(events), streamEvents, len(rest))
 	}
 	return ""
 }
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/edge"
+	"github.com/carobstile/carobstile/internal/loopback"
 	"github.com/carobstile/carobstile/platform/standin"
 )
 
@@ -133,17 +134,16 @@
 		return errors.Wrap(err, "server")
 	}
 	server.Events, server.EventGap, server.Memory = streamEvents, eventGap, engineMemory
-	server.Text, server.OnRun = answerText, c.onRun
+	server.OnRun = c.onRun
+	server.Text = func(run standin.Run, event int) string { return answerText(run.ID, string(run.Body), event) }
 	b.server = server
 	b.link.retarget(server.Address())
 	c.enter(b, server, standin.StateReady)
 	return nil
 }
 
-// answerText depends on the request, so that an answer that goes to another caller shows.
-func answerText(run standin.Run, event int) string {
-	return fmt.Sprintf("%s %s %d", run.ID, run.Body, event)
-}
+// answerText depends on the request, so that an answer that goes to another caller shows. Event 0 is a plain answer.
+func answerText(id, body string, event int) string { return fmt.Sprintf("%s %s %d", id, body, event) }
 
 func (c *cluster) enter(b *backend, s *standin.Server, state string) {
 	c.store.Put(standin.KindServers, s.ID, standin.Entry(b.service, b.link.address(), zone, b.slots, state))
@@ -169,7 +169,7 @@
 }
 
 func (c *cluster) addDaemon(i int, program, dir, storeAddress string) error {
-	ports, err := freePorts(5)
+	ports, err := loopback.Soak.Addresses(5)
 	if err != nil {
 		return err
 	}
@@ -202,37 +202,6 @@
 	return out[:min(len(out), 3)]
 }
 
-// freePorts returns loopback addresses that nothing listens at. They are below the ports that the kernel hands out, so
-// that no outgoing connection takes one while a daemon is down.
-func freePorts(n int) ([]string, error) {
-	portMu.Lock()
-	defer portMu.Unlock()
-	var out []string
-	for range lastPort - firstPort {
-		nextPort = firstPort + (nextPort+1-firstPort)%(lastPort-firstPort)
-		address := "127.0.0.1:" + strconv.Itoa(nextPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if out = append(out, address); len(out) == n {
-			return out, nil
-		}
-	}
-	return nil, errors.New("no free ports")
-}
-
-const (
-	firstPort = 14_000
-	lastPort  = 20_000
-)
-
-var (
-	portMu   sync.Mutex
-	nextPort = firstPort + int(time.Now().UnixNano()%(lastPort-firstPort))
-)
-
 // ready reports whether a daemon tells the platform to send it callers.
 func (d *daemon) ready() bool {
 	client := http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -42,22 +42,22 @@
 	log     *slog.Logger
 	running sync.WaitGroup
 	// locks let faults of one kind on one target follow each other instead of undoing each other.
-	locks [faultScopes]sync.Map
+	locks [lockCount]sync.Map
 }
 
-// Scopes of faults that exclude each other on one target.
+// Faults that take the same lock on the same target follow one another.
 const (
-	scopeProcess = iota
-	scopeStoreLink
-	scopeCallerLink
-	scopeStore
-	scopeServer
-	scopeServerLink
-	faultScopes
+	lockProcess = iota
+	lockStoreLink
+	lockCallerLink
+	lockStore
+	lockServer
+	lockServerLink
+	lockCount
 )
 
-func (j *injector) lock(scope, target int) func() {
-	mu, _ := j.locks[scope].LoadOrStore(target, &sync.Mutex{})
+func (j *injector) lock(kind, target int) func() {
+	mu, _ := j.locks[kind].LoadOrStore(target, &sync.Mutex{})
 	mu.(*sync.Mutex).Lock()
 	return mu.(*sync.Mutex).Unlock
 }
@@ -89,37 +89,37 @@
 	b := f.Target % len(j.cluster.backends)
 	switch f.Kind {
 	case DaemonKill, DaemonFreeze, DaemonStop, DaemonReload:
-		defer j.lock(scopeProcess, d)()
+		defer j.lock(lockProcess, d)()
 		j.injectProcess(d, f)
 	case DaemonStore:
-		defer j.lock(scopeStoreLink, d)()
+		defer j.lock(lockStoreLink, d)()
 		defer j.judge.disturb(scopeDaemon(d))()
 		j.harmLink(j.cluster.daemons[d].store, f)
 	case DaemonCallers:
-		defer j.lock(scopeCallerLink, d)()
+		defer j.lock(lockCallerLink, d)()
 		defer j.judge.disturb(scopeDaemon(d))()
 		j.harmLink(j.cluster.daemons[d].callers, f)
 	case StoreOutage:
-		defer j.lock(scopeStore, 0)()
-		defer j.judge.disturb(scopeCore)()
+		defer j.lock(lockStore, 0)()
+		defer j.judge.disturb(scopeStore)()
 		j.cluster.store.SetOutage(outages[f.Variant])
 		time.Sleep(ms(f.ForMs))
 		j.cluster.store.SetOutage(standin.Serving)
 	case StoreCompact:
 		j.cluster.store.Compact()
 	case ServerFault:
-		defer j.lock(scopeServer, b)()
+		defer j.lock(lockServer, b)()
 		defer j.judge.disturb(scopeServers)()
 		server := j.cluster.backends[b].current()
 		server.SetFault(serverFaults[f.Variant])
 		time.Sleep(ms(f.ForMs))
 		server.SetFault(standin.Sound)
 	case ServerLink:
-		defer j.lock(scopeServerLink, b)()
+		defer j.lock(lockServerLink, b)()
 		defer j.judge.disturb(scopeServers)()
 		j.harmLink(j.cluster.backends[b].link, f)
 	case ServerCrash, ServerDrain:
-		defer j.lock(scopeServer, b)()
+		defer j.lock(lockServer, b)()
 		j.replaceServer(b, f)
 	case ConfigRoute:
 		j.changeRoute(number, f)
@@ -148,7 +148,7 @@
 		p.signal(syscall.SIGCONT, false)
 		return
 	case DaemonStop:
-		defer j.judge.plannedStop(i)()
+		defer j.judge.disturb(scopeStopping(i))()
 		j.stop(i)
 		time.Sleep(ms(f.ForMs))
 	default:
@@ -197,7 +197,7 @@
 func (j *injector) changeRoute(number int, f Fault) {
 	prefix := extraRoute + strconv.Itoa(number) + "/"
 	j.cluster.configure(func() {
-		j.cluster.routes[prefix] = standin.NewRoute(prefix, host, prefix, "idempotent", plain, nil)
+		j.cluster.routes[prefix] = probeKind(prefix).route()
 	})
 	j.judge.allowed(prefix, true)
 	time.Sleep(ms(f.ForMs))
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,7 +23,7 @@
 	freeWithin    = 4 * time.Second // reservations end after the last request
 	// servedShare is the share of requests that must succeed once the deployment has recovered; nothing is broken then.
 	servedShare = 0.9
-	// sharedAnswers bounds violations that are kept.
+	// maxViolations bounds the violations that are kept; all are logged.
 	maxViolations = 50
 )
 
@@ -35,16 +36,28 @@
 	At time.Duration `json:"at"`
 }
 
-// scope is what a disturbance touches.
-type scope int
+// scope is what a disturbance touches. daemon is its number where that matters.
+type scope struct {
+	part   part
+	daemon int
+}
+
+type part int
 
 const (
-	scopeCore    scope = -1 // the store
-	scopeServers scope = -2 // any server or the link to it
-	scopeNetwork scope = -3 // planned stops, which disturb nothing but their daemon's callers
+	partStore    part = iota + 1
+	partServers       // any server or the link to it
+	partDaemon        // a daemon or one of its links
+	partStopping      // a daemon that stops by plan, which excuses no request that it has taken
+)
+
+var (
+	scopeStore   = scope{part: partStore}
+	scopeServers = scope{part: partServers}
 )
 
-func scopeDaemon(i int) scope { return scope(i) }
+func scopeDaemon(i int) scope   { return scope{part: partDaemon, daemon: i} }
+func scopeStopping(i int) scope { return scope{part: partStopping, daemon: i} }
 
 // span is a time in which something was disturbed; an open one has no end.
 type span struct {
@@ -115,22 +128,6 @@
 	}
 }
 
-// plannedStop is a disturbance of a daemon that excuses no request that it has taken.
-func (j *judge) plannedStop(daemon int) func() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	d := &span{scope: scopeStopping(daemon), from: time.Now()}
-	j.spans = append(j.spans, d)
-	return func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		d.to = time.Now()
-	}
-}
-
-// scopeStopping is the scope of a planned stop of a daemon.
-func scopeStopping(daemon int) scope { return scopeNetwork - 1 - scope(daemon) }
-
 // calm reports whether none of the scopes was disturbed in a time, nor shortly before it.
 func (j *judge) calm(from, to time.Time, scopes ...scope) bool {
 	for _, s := range j.spans {
@@ -138,10 +135,8 @@
 		if over || s.from.After(to) {
 			continue
 		}
-		for _, wanted := range scopes {
-			if s.scope == wanted {
-				return false
-			}
+		if slices.Contains(scopes, s.scope) {
+			return false
 		}
 	}
 	return true
@@ -193,8 +188,8 @@
 	switch {
 	case run.Target != r.path || run.Method != http.MethodPost || string(run.Body) != r.body:
 		j.add("UNASKED", r.id, "server %s got another method, path or body", run.Server)
-	case run.Workspace != workspace || run.Header.Get("Api-Key") != "":
-		j.add("UNASKED", r.id, "server %s got workspace %q and key %q", run.Server, run.Workspace, run.Header.Get("Api-Key"))
+	case run.Workspace != workspace || run.Key != "":
+		j.add("UNASKED", r.id, "server %s got workspace %q and key %q", run.Server, run.Workspace, run.Key)
 	case r.kind.once() && r.runs > 1:
 		j.add("TWICE", r.id, "ran on %v", r.servers)
 	case r.runs > r.kind.attempts:
@@ -220,7 +215,7 @@
 
 // inTouch reports whether a daemon and the store were calm in a time.
 func (j *judge) inTouch(daemon int, from, to time.Time) bool {
-	return j.calm(from, to, scopeCore, scopeDaemon(daemon), scopeStopping(daemon))
+	return j.calm(from, to, scopeStore, scopeDaemon(daemon), scopeStopping(daemon))
 }
 
 func (j *judge) checkLeaving(r *request, run standin.Run) {
@@ -300,7 +295,7 @@
 		}
 		return
 	}
-	if want := fmt.Sprintf("%s %s 0", r.id, r.body); complete && r.answer != want {
+	if want := answerText(r.id, r.body, 0); complete && r.answer != want {
 		j.add("MIXED", r.id, "answer of %d bytes is not the server's %d", len(r.answer), len(want))
 	}
 }
@@ -325,7 +320,7 @@
 	if complete || r.runs == 0 || j.calm(r.sent, r.ended, scopeStopping(r.daemon)) {
 		return
 	}
-	if j.calm(r.sent, r.ended, scopeCore, scopeServers, scopeDaemon(r.daemon)) {
+	if j.calm(r.sent, r.ended, scopeStore, scopeServers, scopeDaemon(r.daemon)) {
 		j.add("LOST", r.id, "cut off by a planned stop of daemon %d: %v", r.daemon, r.err)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,10 +13,12 @@
 )
 
 const (
+	// startWithin bounds the start of a daemon, which takes under a second on an idle machine.
 	startWithin = 15 * time.Second
-	// calmSpan follows the faults: the time to recover, and then one in which requests must succeed.
+	// servedSpan follows the time to recover; requests must succeed in it.
 	servedSpan = 5 * time.Second
-	pollEvery  = 250 * time.Millisecond
+	// pollEvery is how often processes are looked at.
+	pollEvery = 250 * time.Millisecond
 )
 
 // Result is what a run found.
