--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,11 +52,7 @@
 
 	draining atomic.Bool
 	open     atomic.Int64
-
-	// sampled counts the requests of a second that went well.
-	sampleMu     sync.Mutex
-	sampleSecond int64
-	sampled      int
+	sampled  sampler
 }
 
 // Drain makes the handler refuse further requests.
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 
 	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/dispatch"
@@ -22,7 +23,8 @@
 func (q *request) ended(status int) {
 	took := q.h.Now() - q.arrived
 	q.h.Metrics.ended(q, status, took)
-	if !q.troubled(status) && !q.h.sample() {
+	if !q.troubled(status) && !q.h.sampled.take(q.h.Now()) {
+		q.h.Metrics.notLogged()
 		return
 	}
 	version := int64(0)
@@ -72,18 +74,19 @@
 
 func millis(m core.Micros) int64 { return m.Duration().Milliseconds() }
 
-// sample reports whether a request that went well is logged.
-func (h *Handler) sample() bool {
-	second := int64(h.Now() / core.Second)
-	h.sampleMu.Lock()
-	defer h.sampleMu.Unlock()
-	if h.sampleSecond != second {
-		h.sampleSecond, h.sampled = second, 0
-	}
-	h.sampled++
-	if h.sampled > sampledRequests {
-		h.Metrics.notLogged()
-		return false
+// sampler lets sampledRequests a second through. It is safe for concurrent use.
+type sampler struct {
+	mu     sync.Mutex
+	second core.Micros
+	taken  int
+}
+
+func (s *sampler) take(now core.Micros) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if second := now / core.Second; second != s.second {
+		s.second, s.taken = second, 0
 	}
-	return true
+	s.taken++
+	return s.taken <= sampledRequests
 }
