--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -169,7 +169,7 @@
 	select {
 	case <-p.wait():
 	case <-time.After(stopGraceSeconds * time.Second):
-		j.judge.violate("STOP", "", "daemon %d still runs %d s after SIGTERM", i, stopGraceSeconds)
+		j.judge.violate("STOP", "", "daemon %d still runs %d s after SIGTERM: %s", i, stopGraceSeconds, p.state())
 		p.kill()
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// state returns what the kernel says of the process and where it waits, for the report of one that does not end.
+func (p *process) state() string {
+	p.mu.Lock()
+	dir := "/proc/" + strconv.Itoa(p.cmd.Process.Pid)
+	p.mu.Unlock()
+	stat, err := os.ReadFile(dir + "/stat")
+	if err != nil {
+		return "gone, not waited for: " + err.Error()
+	}
+	where, err := os.ReadFile(dir + "/wchan")
+	if err != nil {
+		where = []byte(err.Error())
+	}
+	return strings.TrimSpace(string(stat)) + "; waits in " + string(where)
+}
+
 // memoryMB returns the resident memory of the process, or false while it does not run.
 func (p *process) memoryMB() (int, bool) {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -229,3 +229,14 @@
 		require.NoError(t, echo(), link)
 	}
 }
+
+// Guards against a report of a process that does not end which says nothing of it.
+func TestStateOfAProcess(t *testing.T) {
+	cmd := exec.Command("sleep", "10")
+	require.NoError(t, cmd.Start())
+	p := &process{cmd: cmd}
+	require.Contains(t, p.state(), "(sleep)")
+	require.NoError(t, cmd.Process.Kill())
+	_ = cmd.Wait() // it was killed
+	require.Contains(t, p.state(), "gone")
+}
