Split the memory of huge prompts evenly and choose their engines by loss

Cause: a prompt over the memory of one engine was led by the engine with most free memory, which gave all of it. Daemons that decided within milliseconds chose the same engine; reports showed two such jobs (508,724 of 267,750 tokens) and the second prompt waiting there for 4 to 10 s though 0.6 s was predicted.

Ruled out: capacity (engines were idle), the cost model (predictions of other prompts hold), preemption (none). Now each of the fewest engines that keep 40% of their memory free holds an even part, and engines are taken by predicted loss with the preference that spreads daemons.

The new test failed first (598,500 of 315,000 tokens). The check that one engine holds memory gave way to bounds on each part.

Huge prompts are worth less than what they delay, so that their refusal under load stands.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -150,8 +150,12 @@
 	}
 	free := 0.95 * 315_000.0
 	require.GreaterOrEqual(t, float64(held)+free, 400_800.0)
-	require.Len(t, p.Holds, 1)
-	require.Equal(t, p.Holds[0].Server, p.Helpers[0].ID, "holders come first, in the order in which they are filled")
+	require.Len(t, p.Holds, 2, "no engine holds more than its share")
+	for i, h := range p.Holds {
+		require.LessOrEqual(t, float64(h.Tokens), holderShare*315_000)
+		require.Equal(t, h.Server, p.Helpers[i].ID, "holders come first, in the order in which they are filled")
+	}
+	require.LessOrEqual(t, 400_800-float64(held), holderShare*315_000, "part of the lead")
 }
 
 // Guards against slots or memory that are lost when jobs end, are lost with a neighbour, or expire.
@@ -277,3 +281,21 @@
 		require.Less(t, n, 8, id)
 	}
 }
+
+// Guards against the leading engine of a huge prompt being filled to its last token: two daemons that decided together
+// overcommitted it, and the second prompt waited there for seconds while other engines were idle.
+func TestHugePromptsPlacedTogetherFit(t *testing.T) {
+	first, second := fleet(14, 0), fleet(14, 0)
+	plan := assigned(first.Step(Arrived{Now: 10, Work: longWork(1, 10, 330_000)}), 1)
+	require.NotNil(t, plan)
+	effects := second.Step(Arrived{Now: 10, Work: longWork(2, 10, 340_000)})
+	require.NotNil(t, assigned(effects, 2))
+	for _, e := range effects {
+		if a, ok := e.(Announce); ok {
+			first.Step(PeerPlaced{Now: 20, Peer: "b", Job: a.Job})
+		}
+	}
+	for _, s := range first.servers {
+		require.LessOrEqual(t, s.memoryTokens, s.model.KVTokens, s.ID)
+	}
+}
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -2,57 +2,63 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/carobstile/carobstile/internal/core"
 )
 
-// minHoldTokens is the smallest reservation that is worth an order.
-const minHoldTokens = 4_096
+// holderShare is the share of an engine's memory that a part of a prompt may take, so that engines with a part have room for
+// other requests, and those with other requests for a part.
+const holderShare = 0.6
 
-// spreadOption plans a prompt that fits no single engine: several engines hold a part of its memory, and all of them
-// read. It returns nil if the free memory of all candidates does not suffice.
+// spreadOption plans a prompt that fits no single engine: several engines hold even parts of its memory, and all of them
+// read. It returns nil if too few candidates have room.
 func (c *Core) spreadOption(now core.Micros, w *Work, list []*candidate) *option {
-	byMemory := slices.Clone(list)
-	slices.SortStableFunc(byMemory, func(a, b *candidate) int { return cmp.Compare(b.freeMemory(), a.freeMemory()) })
-	lead := c.roomiestLead(byMemory)
-	if lead == nil {
-		return nil
+	model := list[0].model
+	need := w.Prompt + w.Answer
+	cost := model.ReadMs(w.Prompt) / (maxHelpers + 1)
+	for _, s := range list {
+		s.loss = s.harmOf(now, cost*s.pace) + loadLoss*(s.pass+s.pending) + s.preference
 	}
-	missing := w.Prompt + w.Answer - lead.freeMemory()
-	o := &option{lead: lead}
-	for _, s := range byMemory {
-		if missing <= 0 {
-			break
+	byLoss := slices.Clone(list)
+	slices.SortStableFunc(byLoss, func(a, b *candidate) int { return cmp.Compare(a.loss, b.loss) })
+	fewest := int(math.Ceil(float64(need) / (holderShare * float64(model.KVTokens))))
+	for k := max(2, fewest); k <= min(maxHelpers+1, len(list)); k++ {
+		if o := holders(byLoss, need, k); o != nil {
+			c.addReaders(now, w, list, o)
+			return o
 		}
-		tokens := min(missing, s.freeMemory())
-		if s == lead || tokens <= 0 {
-			continue
-		}
-		tokens = max(tokens, min(minHoldTokens, s.freeMemory()))
-		missing -= tokens
-		o.helpers = append(o.helpers, s)
-		o.holds = append(o.holds, heldMemory{server: s.server, tokens: tokens})
 	}
-	if missing > 0 || len(o.helpers) > maxHelpers {
-		return nil
-	}
-	c.addReaders(now, w, list, o)
-	return o
+	return nil
 }
 
-// maxHelpers is the most helpers a request may name.
-const maxHelpers = 16
-
-func (c *Core) roomiestLead(byMemory []*candidate) *candidate {
-	for _, s := range byMemory {
-		if s.freeSlots() > 0 {
-			return s
+// holders returns the first k candidates with room for an even part, led by the first of them that has a slot.
+func holders(byLoss []*candidate, need, k int) *option {
+	part := (need + k - 1) / k
+	o := &option{}
+	for _, s := range byLoss {
+		if s.freeMemory() < part {
+			continue
+		}
+		if o.lead == nil && s.freeSlots() > 0 {
+			o.lead = s
+			continue
+		}
+		if len(o.helpers) < k-1 {
+			o.helpers = append(o.helpers, s)
+			o.holds = append(o.holds, heldMemory{server: s.server, tokens: part})
+		}
+		if o.lead != nil && len(o.helpers) == k-1 {
+			return o
 		}
 	}
 	return nil
 }
 
+// maxHelpers is the most helpers a request may name.
+const maxHelpers = 16
+
 // addReaders adds engines that only read, as long as that lowers the predicted loss.
 func (c *Core) addReaders(now core.Micros, w *Work, list []*candidate, o *option) {
 	base := append([]*candidate{o.lead}, o.helpers...)
