Tell all members at once of a request that is close to its crash limit

The third record of the crashing request waited behind those of innocent ones, so that a second gate, asked 0.6 s later, let it crash a fourth engine. Ruled out: lost datagrams and load alone, since the unit test shows it without either.

Records of a request one crash short of the limit, and beyond, now go to up to 16 members at once.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -61,7 +61,7 @@
 	for _, r := range change.New {
 		b.log.Warn("request crashed an engine", "fingerprint", hex.EncodeToString(f[:]), "engine", engine,
 			"incarnation", incarnation)
-		b.members.AddRecords([]membercore.Record{{Fingerprint: f[:], Engine: r.Incarnation, Made: r.Made}})
+		b.disseminate(r)
 	}
 	for _, reached := range change.Reached {
 		b.log.Warn("request refused from now on", "fingerprint", hex.EncodeToString([]byte(reached)))
@@ -69,6 +69,23 @@
 	}
 }
 
+// disseminate tells the other daemons of a new record, and of all records of its request if that is at most one crash short
+// of the limit.
+func (b *crashRecorder) disseminate(r crashes.Record) {
+	own := membercore.Record{Fingerprint: []byte(r.Fingerprint), Engine: r.Incarnation, Made: r.Made}
+	if b.set.Count(r.Made, r.Fingerprint) < b.limit()-1 {
+		b.members.AddRecords([]membercore.Record{own}, false)
+		return
+	}
+	var all []membercore.Record
+	for _, other := range b.set.Records(r.Made) {
+		if other.Fingerprint == r.Fingerprint {
+			all = append(all, membercore.Record{Fingerprint: []byte(other.Fingerprint), Engine: other.Incarnation, Made: other.Made})
+		}
+	}
+	b.members.AddRecords(all, true)
+}
+
 // learned takes in records of other daemons.
 func (b *crashRecorder) learned(records []membercore.Record) {
 	for _, r := range records {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -180,9 +180,9 @@
 	m.step(membercore.HintRequested{Now: m.clock.Now(), To: addresses})
 }
 
-// AddRecords disseminates crash records made by this daemon.
-func (m *Members) AddRecords(records []membercore.Record) {
-	m.step(membercore.RecordsAdded{Now: m.clock.Now(), Records: records})
+// AddRecords disseminates crash records made by this daemon. Urgent ones are sent to other members at once.
+func (m *Members) AddRecords(records []membercore.Record, urgent bool) {
+	m.step(membercore.RecordsAdded{Now: m.clock.Now(), Records: records, Urgent: urgent})
 }
 
 // SyncMembers answers a full exchange.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -205,7 +205,7 @@
 		})
 	}
 	daemons[0].SetGeneration(5)
-	daemons[0].AddRecords([]membercore.Record{{Fingerprint: []byte("0123456789abcdef"), Engine: "e1/3", Made: daemons[0].clock.Now()}})
+	daemons[0].AddRecords([]membercore.Record{{Fingerprint: []byte("0123456789abcdef"), Engine: "e1/3", Made: daemons[0].clock.Now()}}, false)
 	require.Eventually(t, func() bool { return records.Load() == 7 && generations.Load() >= 7 }, 4*time.Second, 10*time.Millisecond)
 }
 
--- a/internal/membercore/core.go
+++ b/internal/membercore/core.go
@@ -43,6 +43,8 @@
 	relayedHints = 3
 	// hintsPerInterval bounds them to about 4 KB/s when many members change at once.
 	hintsPerInterval = 8
+	// urgentReach is the number of members that get urgent records at once; today's deployments have up to 9 hosts.
+	urgentReach = 16
 )
 
 // Keys of timers; keySuspect and keyAck are followed by a member's name and a sequence number.
@@ -124,6 +126,10 @@
 		}
 	case RecordsAdded:
 		c.addRecords(e.Records)
+		if e.Urgent {
+			c.tellUrgent(e.Records)
+			break
+		}
 		c.hint(urgentHints)
 	case LeaveRequested:
 		c.leave()
@@ -234,6 +240,13 @@
 	}
 }
 
+// tellUrgent sends records to members at once, whatever other hints have used up.
+func (c *Core) tellUrgent(records []Record) {
+	for _, m := range c.pick(urgentReach, "") {
+		c.send(m.Address, m.Name, Packet{Kind: Hint, Records: records})
+	}
+}
+
 // pick returns up to n random live members other than the named one.
 func (c *Core) pick(n int, except string) []Member {
 	var live []Member
--- a/internal/membercore/gossip.go
+++ b/internal/membercore/gossip.go
@@ -65,6 +65,9 @@
 	if p.Target != nil {
 		left -= p.Target.size()
 	}
+	for _, r := range p.Records {
+		left -= r.size()
+	}
 	// A member must learn that it is held for suspect or dead, to refute it.
 	if e := c.members[to]; e != nil && (e.State == Suspect || e.State == Dead) && p.Target == nil {
 		p.Updates = append(p.Updates, e.Member)
@@ -139,9 +142,12 @@
 		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.serial, a.serial))
 	})
 	for _, r := range waiting {
-		if len(p.Records) == maxRecords || r.size() > *left {
+		if len(p.Records) >= maxRecords || r.size() > *left {
 			return
 		}
+		if slices.ContainsFunc(p.Records, func(o Record) bool { return o.key() == r.key() }) {
+			continue
+		}
 		p.Records = append(p.Records, r.Record)
 		*left -= r.size()
 		r.sent++
--- a/internal/membercore/types.go
+++ b/internal/membercore/types.go
@@ -134,6 +134,9 @@
 	RecordsAdded struct {
 		Now     core.Micros `json:"now"`
 		Records []Record    `json:"records"`
+		// Urgent records are those of a request that is close to its crash limit. They do not wait for the interval in
+		// which further hints may be sent.
+		Urgent bool `json:"urgent,omitempty"`
 	}
 	// LeaveRequested puts this daemon into the state leaving.
 	LeaveRequested struct {
--- /dev/null
+++ b/internal/membercore/urgent_test.go
@@ -0,0 +1,38 @@
+package membercore
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
+
+// Guards against records of a request close to its crash limit that wait for the next interval because records of
+// other requests on the same engines have used up the hints: a second gate then let the request crash a fourth engine.
+func TestUrgentRecordsGoToAllMembersAtOnce(t *testing.T) {
+	const members = 5
+	now := core.Hour
+	c := New(Member{Name: "self", Address: "10.0.0.1:1", Incarnation: 1}, 7)
+	c.Step(Started{Now: now})
+	for i := range members {
+		m := Member{Name: fmt.Sprintf("m%d", i), Address: fmt.Sprintf("10.0.1.%d:1", i), Incarnation: 1, State: Alive}
+		c.Step(PacketReceived{Now: now, Packet: Packet{Kind: Hint, Sender: m}})
+	}
+	for i := range 3 * hintsPerInterval {
+		c.Step(RecordsAdded{Now: now, Records: []Record{{Fingerprint: fmt.Appendf(nil, "other%d", i), Engine: "e1", Made: now}}})
+	}
+	var urgent []Record
+	for _, engine := range []string{"e1", "e2"} {
+		urgent = append(urgent, Record{Fingerprint: []byte("crashing"), Engine: engine, Made: now})
+	}
+	told := map[string]bool{}
+	for _, effect := range c.Step(RecordsAdded{Now: now, Records: urgent, Urgent: true}) {
+		if p, ok := effect.(SendPacket); ok {
+			require.Subset(t, p.Packet.Records, urgent)
+			told[p.To] = true
+		}
+	}
+	require.Len(t, told, members)
+}
