Send copies of the store to other daemons only on request

A daemon that starts asks a seed twice for the other daemons, and each answer held all servers, 0.9 MB. Ruled out: events of the servers' reports, which change no entry, and summaries (they grow with the cell only).

The request names the kinds that are wanted. A daemon that has no lists from the store after 600 ms still asks others for theirs, and now stops asking once it has them.

--- a/internal/edge/fetch.go
+++ b/internal/edge/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,8 +22,8 @@
 
 var fetchClient = &http.Client{Transport: upstream.Transport()}
 
-// fetch takes in what another daemon knows, and reports whether it did.
-func (d *Daemon) fetch(address string) bool {
+// fetch takes in what another daemon knows, with its copies of the objects of some kinds, and reports whether it did.
+func (d *Daemon) fetch(address string, kinds ...string) bool {
 	if !d.fetching.CompareAndSwap(false, true) {
 		return false
 	}
@@ -30,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	client := carobstilev1connect.NewEdgeServiceClient(fetchClient, "http://"+address)
-	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{Sender: d.self()}))
+	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{Sender: d.self(), Kinds: kinds}))
 	if err != nil {
 		d.log.Info("neighbour not asked", "address", address, "err", err)
 		return false
@@ -81,7 +82,7 @@
 	}
 	for _, f := range []*directory.Follower{s.d.config, s.d.entries} {
 		image, known := f.Image()
-		if !known {
+		if !known || !slices.Contains(req.Msg.GetKinds(), image.Kind) {
 			continue
 		}
 		encoded, err := encodeImage(image)
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -22,6 +22,9 @@
 	// startQuiet is how long a daemon that starts and knows no other one yet leaves it to others to watch the servers'
 	// entries. While a deployment starts all of them change, and every daemon would hear of each.
 	startQuiet = 2 * time.Second
+	// listedWithin is how long a daemon that starts waits for the store's lists, which take some milliseconds, before it
+	// asks others for copies. A call to a store that is silent ends only after its timeout.
+	listedWithin = 600 * time.Millisecond
 )
 
 var _ neighbors.Handler = (*Daemon)(nil)
@@ -57,21 +60,27 @@
 	for _, delta := range p.GetDeltas() {
 		d.adoptDelta(delta)
 	}
-	if d.behind(p) {
+	if len(d.behind(p)) > 0 {
 		time.AfterFunc(fetchDelay, func() {
-			if d.behind(p) {
-				d.fetch(p.GetSender().GetServiceAddress())
+			if kinds := d.behind(p); len(kinds) > 0 {
+				d.fetch(p.GetSender().GetServiceAddress(), kinds...)
 			}
 		})
 	}
 }
 
-// behind reports whether the sender knows a newer state of the store.
-func (d *Daemon) behind(p *carobstilev1.EdgePacket) bool {
+// behind returns the kinds of objects of which the sender knows a newer state.
+func (d *Daemon) behind(p *carobstilev1.EdgePacket) []string {
 	mine := &carobstilev1.EdgePacket{}
 	d.versions(mine)
-	return p.GetConfigVersion() > mine.GetConfigVersion() ||
-		p.GetServersRevision() > mine.GetServersRevision() && p.GetServersDigest() != mine.GetServersDigest()
+	var kinds []string
+	if p.GetConfigVersion() > mine.GetConfigVersion() {
+		kinds = append(kinds, KindConfig)
+	}
+	if p.GetServersRevision() > mine.GetServersRevision() && p.GetServersDigest() != mine.GetServersDigest() {
+		kinds = append(kinds, KindServers)
+	}
+	return kinds
 }
 
 // versions fills in what this daemon knows of the store.
@@ -101,7 +110,8 @@
 }
 
 // fetchAtStart asks a seed for the other daemons, twice, so that they are known long before the store's list is read
-// again. While the store cannot be reached it goes on, with all known daemons, until a configuration is known.
+// again; copies come from the store itself, as those for many daemons that start would overload the seeds. While the store
+// gives none, all known daemons are asked for theirs until a configuration and the servers are known.
 func (d *Daemon) fetchAtStart(ctx context.Context) {
 	d.fetchFromAny(d.settings.Seeds)
 	time.AfterFunc(meetAgain, func() { d.fetchFromAny(d.settings.Seeds) })
@@ -113,11 +123,14 @@
 			return
 		case <-ticker.C:
 		}
-		if !d.config.Failing() {
+		if !d.config.Failing() && time.Since(d.start) < listedWithin {
 			continue
 		}
 		for _, address := range d.addresses() {
-			d.fetch(address)
+			if d.complete() {
+				return
+			}
+			d.fetch(address, KindConfig, KindServers)
 		}
 	}
 }
