Copy only the buckets of servers that differ between daemons

The daemon that asks now sends 64 digests, and gets the objects of the buckets that differ. A daemon that has just listed the servers itself fetches none for two seconds.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,12 +7,10 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/platform"
@@ -57,16 +55,6 @@
 	Objects  map[string]platform.Object
 }
 
-// Digest is a hash of the names and versions of the objects. Two daemons that know the same objects have the same
-// digest, whatever revisions their calls returned.
-func (i Image) Digest() uint64 {
-	sum := uint64(0)
-	for name, o := range i.Objects {
-		sum += xxhash.Sum64String(name + "/" + strconv.FormatUint(o.Version, 10))
-	}
-	return sum
-}
-
 // apply returns the image after changes.
 func (i Image) apply(w platform.Watch) Image {
 	out := Image{Kind: i.Kind, Revision: max(i.Revision, w.Revision), Objects: i.Objects}
@@ -209,18 +197,18 @@
 	return nil
 }
 
-// Adopt takes a neighbour's image if it is newer.
-func (f *Follower) Adopt(image Image) bool {
+// Adopt takes a neighbour's copy if it is newer.
+func (f *Follower) Adopt(p Part) bool {
 	took := false
 	f.update(false, func(old Image) (Image, bool) {
-		if f.known && image.Revision <= old.Revision {
+		if f.known && p.Revision <= old.Revision || !f.known && !p.Whole {
 			return old, false
 		}
 		took = true
-		return image, true
+		return old.with(p), true
 	})
 	if took {
-		f.log.Info("took a newer copy from a neighbour", "revision", image.Revision)
+		f.log.Info("took a newer copy from a neighbour", "revision", p.Revision, "objects", len(p.Objects), "whole", p.Whole)
 	}
 	return took
 }
@@ -249,6 +237,9 @@
 	f.options.Changed(image, own && (f.failing.Load() || recent))
 }
 
+// Kind returns the kind of objects that is followed.
+func (f *Follower) Kind() string { return f.kind }
+
 // Image returns the present image; known is false before the first.
 func (f *Follower) Image() (image Image, known bool) {
 	f.mu.Lock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -120,8 +120,8 @@
 	f, out := follow(t, s)
 	<-out
 	s.fail(platform.ErrRejected)
-	require.False(t, f.Adopt(imageOf(4, object("old", 1))))
-	require.True(t, f.Adopt(imageOf(8, object("new", 8))))
+	require.False(t, f.Adopt(imageOf(4, object("old", 1)).Part(nil)))
+	require.True(t, f.Adopt(imageOf(8, object("new", 8)).Part(nil)))
 	require.Contains(t, (<-out).image.Objects, "new")
 }
 
--- a/internal/edge/fetch.go
+++ b/internal/edge/fetch.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	client := carobstilev1connect.NewEdgeServiceClient(fetchClient, "http://"+address)
-	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{Sender: d.self(), Kinds: kinds}))
+	resp, err := client.Fetch(ctx, connect.NewRequest(&carobstilev1.FetchRequest{Sender: d.self(), Wanted: d.wanted(kinds)}))
 	if err != nil {
 		d.log.Info("neighbour not asked", "address", address, "err", err)
 		return false
@@ -40,6 +40,22 @@
 	return true
 }
 
+// wanted describes the copies that this daemon has of some kinds.
+func (d *Daemon) wanted(kinds []string) []*carobstilev1.EdgeWanted {
+	var out []*carobstilev1.EdgeWanted
+	for _, f := range []*directory.Follower{d.config, d.entries} {
+		if !slices.Contains(kinds, f.Kind()) {
+			continue
+		}
+		w := &carobstilev1.EdgeWanted{Kind: f.Kind()}
+		if image, known := f.Image(); known {
+			w.Digests = image.Digests()
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
 func (d *Daemon) takeIn(m *carobstilev1.FetchResponse) {
 	for _, member := range m.GetMembers() {
 		d.link.Meet(member)
@@ -48,16 +64,16 @@
 		d.crashed(c, false)
 	}
 	for _, i := range m.GetImages() {
-		image, err := decodeImage(i)
+		part, err := decodePart(i)
 		if err != nil {
 			d.log.Warn("copy of a neighbour not understood", "kind", i.GetKind(), "err", err)
 			continue
 		}
 		switch i.GetKind() {
 		case KindConfig:
-			d.config.Adopt(image)
+			d.config.Adopt(part)
 		case KindServers:
-			d.entries.Adopt(image)
+			d.entries.Adopt(part)
 		}
 	}
 }
@@ -80,38 +96,43 @@
 			Fingerprint: []byte(r.Fingerprint), Server: r.Incarnation,
 		})
 	}
-	for _, f := range []*directory.Follower{s.d.config, s.d.entries} {
-		image, known := f.Image()
-		if !known || !slices.Contains(req.Msg.GetKinds(), image.Kind) {
-			continue
+	for _, w := range req.Msg.GetWanted() {
+		for _, f := range []*directory.Follower{s.d.config, s.d.entries} {
+			image, known := f.Image()
+			if !known || f.Kind() != w.GetKind() {
+				continue
+			}
+			encoded, err := encodePart(image.Part(w.GetDigests()))
+			if err != nil {
+				return nil, err
+			}
+			out.Images = append(out.Images, encoded)
 		}
-		encoded, err := encodeImage(image)
-		if err != nil {
-			return nil, err
-		}
-		out.Images = append(out.Images, encoded)
 	}
 	return connect.NewResponse(out), nil
 }
 
-func encodeImage(image directory.Image) (*carobstilev1.EdgeImage, error) {
-	out := &carobstilev1.EdgeImage{Kind: image.Kind, Revision: image.Revision}
-	for _, o := range image.Objects {
+func encodePart(p directory.Part) (*carobstilev1.EdgeImage, error) {
+	out := &carobstilev1.EdgeImage{Kind: p.Kind, Revision: p.Revision, Whole: p.Whole, Buckets: p.Buckets}
+	for _, o := range p.Objects {
 		data, err := json.Marshal(o)
 		if err != nil {
-			return nil, errors.Wrapf(err, "%s/%s", image.Kind, o.Name)
+			return nil, errors.Wrapf(err, "%s/%s", p.Kind, o.Name)
 		}
 		out.Objects = append(out.Objects, data)
 	}
 	return out, nil
 }
 
-func decodeImage(i *carobstilev1.EdgeImage) (directory.Image, error) {
-	out := directory.Image{Kind: i.GetKind(), Revision: i.GetRevision(), Objects: map[string]platform.Object{}}
+func decodePart(i *carobstilev1.EdgeImage) (directory.Part, error) {
+	out := directory.Part{
+		Image: directory.Image{Kind: i.GetKind(), Revision: i.GetRevision(), Objects: map[string]platform.Object{}},
+		Whole: i.GetWhole(), Buckets: i.GetBuckets(),
+	}
 	for _, data := range i.GetObjects() {
 		var o platform.Object
 		if err := json.Unmarshal(data, &o); err != nil {
-			return directory.Image{}, errors.Wrap(err, "object")
+			return directory.Part{}, errors.Wrap(err, "object")
 		}
 		out.Objects[o.Name] = o
 	}
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -77,12 +77,16 @@
 	if p.GetConfigVersion() > mine.GetConfigVersion() {
 		kinds = append(kinds, KindConfig)
 	}
-	if p.GetServersRevision() > mine.GetServersRevision() && p.GetServersDigest() != mine.GetServersDigest() {
+	if p.GetServersRevision() > mine.GetServersRevision() && p.GetServersDigest() != mine.GetServersDigest() && !d.settling() {
 		kinds = append(kinds, KindServers)
 	}
 	return kinds
 }
 
+// settling reports whether this daemon has just listed the servers itself. While a deployment starts their entries change
+// all the time, and copies of neighbours would be outdated at once.
+func (d *Daemon) settling() bool { return d.complete() && time.Since(d.start) < startQuiet }
+
 // versions fills in what this daemon knows of the store.
 func (d *Daemon) versions(p *carobstilev1.EdgePacket) {
 	if table := d.table.Load(); table != nil {
