--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -73,13 +73,14 @@
 func (d *Daemon) reported(s dispatch.Server, r Report) {
 	d.scheduler.Step(dispatch.ServerAlive{Now: d.now(), Server: s.ID, Pace: r.Pace, Reached: true})
 	if d.paceChanged(s.ID, r.Pace) {
+		d.log.Info("engine pace changed", "server", s.ID, "pace", r.Pace)
 		d.link.Tell(false, func(p *carobstilev1.EdgePacket) {
 			p.Reports = append(p.Reports, &carobstilev1.EdgeReport{Server: s.ID, Pace: r.Pace})
 		})
 	}
 }
 
-// paceStep is the change of an engine's pace that neighbours are told of.
+// paceStep is the change of an engine's pace that is logged and told to neighbours.
 const paceStep = 0.1
 
 func (d *Daemon) paceChanged(server string, pace float64) bool {
