--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -38,7 +38,8 @@
 	}
 	q.h.Log.Info(evlog.MessageEnded, evlog.KeyRequest, q.ID, "route", q.routeName(), "service", q.service,
 		"prompt_tokens", q.Prompt, "status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sends,
-		"first_ms", q.firstMillis(), "limit_ms", millis(max(0, q.deadline-q.arrived)), "ms", millis(took), "config", version)
+		"first_ms", q.firstMillis(), "longest_gap_ms", millis(q.stream.longestGap), "limit_ms", millis(max(0, q.deadline-q.arrived)),
+		"ms", millis(took), "config", version)
 }
 
 // firstEvent notes when the first event of a stream came.
@@ -52,6 +53,20 @@
 	q.h.Metrics.firstEvent(q.route.Name, took)
 }
 
+// eventCame notes the pause before an event of a stream.
+func (q *request) eventCame() {
+	now := q.h.Now()
+	if q.stream.lastAt > 0 {
+		q.stream.longestGap = max(q.stream.longestGap, now-q.stream.lastAt)
+	}
+	q.stream.lastAt = now
+}
+
+// paused reports whether a pause between two events was longer than the route's target.
+func (q *request) paused() bool {
+	return q.route != nil && q.route.PauseTarget > 0 && q.stream.longestGap > core.Span(q.route.PauseTarget)
+}
+
 // firstMillis returns when the first event came, counted from the arrival; -1 if there was none.
 func (q *request) firstMillis() int64 {
 	if q.stream.firstAt == 0 {
@@ -60,9 +75,9 @@
 	return millis(q.stream.firstAt - q.arrived)
 }
 
-// troubled reports whether a request failed, was sent more than once, or had its first event late.
+// troubled reports whether a request failed, was sent more than once, or had its first or another event late.
 func (q *request) troubled(status int) bool {
-	return status >= http.StatusBadRequest || status == 0 || q.sends > 1 || q.stream.late
+	return status >= http.StatusBadRequest || status == 0 || q.sends > 1 || q.stream.late || q.paused()
 }
 
 func (q *request) routeName() string {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,6 +25,8 @@
 	// firstAt is when the first event came, 0 before; late says that it was late.
 	firstAt core.Micros
 	late    bool
+	// lastAt is when the last event came, and longestGap the longest pause between two.
+	lastAt, longestGap core.Micros
 }
 
 // relay passes the events of a stream on as they arrive. Only whole events are passed on, so that another server can
@@ -46,6 +48,7 @@
 			q.h.Scheduler.First(id)
 			q.firstEvent()
 		}
+		q.eventCame()
 		ok, err := q.pass(event, resp)
 		if err != nil {
 			q.h.Scheduler.Cancelled(id)
