--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -25,7 +25,7 @@
 	slices.SortStableFunc(byLoss, func(a, b *candidate) int { return cmp.Compare(a.loss, b.loss) })
 	fewest := int(math.Ceil(float64(need) / (holderShare * float64(model.KVTokens))))
 	for k := max(2, fewest); k <= min(maxHelpers+1, len(list)); k++ {
-		if o := holders(byLoss, need, k); o != nil {
+		if o := evenParts(byLoss, need, k); o != nil {
 			c.addReaders(now, w, list, o)
 			return o
 		}
@@ -33,8 +33,8 @@
 	return nil
 }
 
-// holders returns the first k candidates with room for an even part, led by the first of them that has a slot.
-func holders(byLoss []*candidate, need, k int) *option {
+// evenParts plans with the first k candidates that have room for an even part, led by the first of them with a free slot.
+func evenParts(byLoss []*candidate, need, k int) *option {
 	part := (need + k - 1) / k
 	o := &option{}
 	for _, s := range byLoss {
