confstore: read the root again when the chunks of a conflicting change are gone

Cause: resolving a conflict read the root of the other change and then its chunks. Ruled out: a chunk that a current root still needs; the collector's own test shows none. Change: the read is repeated with the newer root, as Refresh does, until the root stays the same.

--- a/internal/confstore/apply.go
+++ b/internal/confstore/apply.go
@@ -170,6 +170,18 @@
 // resolveWrite reads the root to determine whether an attempt was accepted. It returns decided = false if the root
 // cannot be read or is still the base: the read may be stale, or the write may still be in progress.
 func (s *Store) resolveWrite(ctx context.Context, base *Snapshot, id string) (version uint64, decided bool, err error) {
+	for lastVersion := uint64(0); ; lastVersion = version {
+		version, decided, err = s.resolveOnce(ctx, base, id)
+		// The chunks of the root that was read may have been deleted because a newer root replaced it meanwhile.
+		if !errors.Is(err, platform.ErrNotFound) || version == lastVersion {
+			return version, decided, err
+		}
+	}
+}
+
+// resolveOnce is resolveWrite for one read of the root. If the root's chunks cannot be read, it returns the root's
+// version with the error.
+func (s *Store) resolveOnce(ctx context.Context, base *Snapshot, id string) (version uint64, decided bool, err error) {
 	root, version, err := s.readRoot(ctx)
 	if err != nil || version <= base.Version {
 		return 0, false, nil
@@ -184,7 +196,7 @@
 	}
 	current, err := s.readDocument(ctx, root, version)
 	if err != nil {
-		return 0, true, errors.Wrap(err, "the change conflicts with another accepted change, which cannot be read")
+		return version, true, errors.Wrap(err, "the change conflicts with another accepted change, which cannot be read")
 	}
 	return 0, true, &ConflictError{Current: current, Meanwhile: config.Diff(base.Document, current.Document)}
 }
--- a/internal/confstore/confstore_test.go
+++ b/internal/confstore/confstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -79,6 +80,31 @@
 	require.Equal(t, accepted.Version, objects.objects["config/root"].Version)
 }
 
+// Guards against a conflict that is reported as unreadable because the conflicting root was replaced, and its chunks were
+// deleted, while they were read.
+func TestConflictingRootIsReplacedWhileItIsRead(t *testing.T) {
+	objects := newMemoryStore()
+	s := newTestStore(objects)
+	base := apply(t, s, document(1))
+	apply(t, newTestStore(objects), document(2))
+	chunks := map[string]bool{}
+	for key := range objects.objects {
+		chunks[key] = strings.HasPrefix(key, platform.KindConfigChunk+"/")
+	}
+	objects.beforeChunkRead = func() {
+		apply(t, newTestStore(objects), document(3))
+		for key, isChunk := range chunks {
+			if isChunk {
+				delete(objects.objects, key)
+			}
+		}
+	}
+	_, err := s.Apply(t.Context(), base, document(4), "ada")
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, uint64(3), conflict.Current.Root.Generation)
+}
+
 // Guards against failing on a write that the platform rejected because of its rate limit.
 func TestRejectedWriteIsRetried(t *testing.T) {
 	objects := newMemoryStore()
--- a/internal/confstore/store_test.go
+++ b/internal/confstore/store_test.go
@@ -15,6 +15,8 @@
 	objects  map[string]platform.Object
 	// beforeRootWrite, if not nil, is called once before the next root write, without the lock held.
 	beforeRootWrite func()
+	// beforeChunkRead, if not nil, is called once before the next read of a chunk, without the lock held.
+	beforeChunkRead func()
 	// loseAnswers is the number of next root writes that take effect but whose answers are lost; rejectWrites is the
 	// number of next root writes that are rejected.
 	loseAnswers, rejectWrites int
@@ -27,6 +29,10 @@
 func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]platform.Object{}} }
 
 func (m *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	if before := m.beforeChunkRead; before != nil && kind == platform.KindConfigChunk {
+		m.beforeChunkRead = nil
+		before()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if kind == platform.KindConfig && m.staleReads > 0 && m.stale != nil {
