confsync: end what membership started before Run

Ruled out: dropping such events, since a generation or a join that was heard early would then be missed. Change: the context is created by New and cancelled at the end of Run. Before: TestRunEndsWhatStartedBeforeIt fails after 5 s.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -65,9 +65,12 @@
 	current atomic.Pointer[config.Index]
 	ready   chan struct{}
 
-	mu        sync.Mutex
-	core      *confcore.Core
+	mu   sync.Mutex
+	core *confcore.Core
+	// ctx is the context of all background calls. Membership can report events before Run is called, so it is created by
+	// New; Run cancels it with cancel when it ends.
 	ctx       context.Context
+	cancel    context.CancelFunc
 	stopWatch context.CancelFunc
 
 	subscribersMu sync.Mutex
@@ -76,11 +79,12 @@
 	background sync.WaitGroup
 }
 
-// New returns a Sync that is subscribed to membership. Call Run to start it.
+// New returns a Sync that is subscribed to membership. Call Run to start it and to release its background calls.
 func New(options Options) *Sync {
+	ctx, cancel := context.WithCancel(context.Background())
 	s := &Sync{
 		options: options, clock: shell.NewClock(), cache: newCache(), ready: make(chan struct{}),
-		core: confcore.New(options.Self, options.Seed), ctx: context.Background(),
+		core: confcore.New(options.Self, options.Seed), ctx: ctx, cancel: cancel,
 	}
 	options.Members.Subscribe(member.Listener{
 		Changed: s.peersChanged,
@@ -96,17 +100,12 @@
 
 // Run keeps the configuration up to date until ctx is done. It always returns nil.
 func (s *Sync) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.mu.Lock()
-	s.ctx = ctx
-	s.mu.Unlock()
 	s.step(func() confcore.Event { return confcore.Started{Now: s.clock.Now()} })
 	s.peersChanged()
 	<-ctx.Done()
 	// Cancel under the lock, so that no background call starts after the Wait below has begun.
 	s.mu.Lock()
-	cancel()
+	s.cancel()
 	s.mu.Unlock()
 	s.timers.Stop()
 	s.background.Wait()
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -15,6 +15,7 @@
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/member"
+	"github.com/carobstile/carobstile/internal/membercore"
 	"github.com/carobstile/carobstile/internal/peer"
 	"github.com/carobstile/carobstile/internal/platform"
 )
@@ -220,6 +221,46 @@
 	c.waitForGeneration(t, 2, 3*time.Second)
 }
 
+// lateMembers is a membership without other members.
+type lateMembers struct{}
+
+func (lateMembers) Members() []membercore.Member { return nil }
+func (lateMembers) Subscribe(member.Listener)    {}
+func (lateMembers) SetGeneration(uint64)         {}
+func (lateMembers) Hint([]string)                {}
+
+// Guards against a watch and tasks that are started by an event of membership before Run and never end, so that Run does
+// not return.
+func TestRunEndsWhatStartedBeforeIt(t *testing.T) {
+	var running atomic.Int64
+	s := New(Options{
+		Self: confcore.Peer{Name: "d", Address: "127.0.0.1:1", FailureDomain: "z"}, Store: newMemoryStore(), Members: lateMembers{},
+		Log: evlog.Discard(),
+		WatcherTasks: []func(context.Context){func(ctx context.Context) {
+			running.Add(1)
+			<-ctx.Done()
+			running.Add(-1)
+		}},
+	})
+	s.mu.Lock()
+	s.performLocked(confcore.SetWatch{On: true})
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		_ = s.Run(ctx)
+		close(done)
+	}()
+	require.Eventually(t, func() bool { return running.Load() == 1 }, 5*time.Second, time.Millisecond)
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "Run did not return")
+	}
+	require.Zero(t, running.Load())
+}
+
 // Guards against adoption of a document with an unsupported format, and against such a document blocking the next one.
 func TestUnreadableDocumentIsNotAdopted(t *testing.T) {
 	c := newCluster(t)
