Mend small faults seen while reading: verdicts, removed engines, cut input, kills in the soak

A verdict dated far ahead outlived its hour; minPrefillTime counted engines that were removed; a document on standard input was cut at the limit and used; three conflicts in a row were shown as "The platform does not answer"; the kill of a soak daemon that never started hung. Change: verdicts over a minute ahead are ignored, removed engines are left out, input over the limit is an error, the console says that other operators were faster, a process that was never started needs no kill. Conclusion: the console's text and the soak's kill have no test of their own.

--- a/internal/alloccore/estimate.go
+++ b/internal/alloccore/estimate.go
@@ -98,10 +98,14 @@
 	c.meanGrantDuration += core.Micros(grantDurationWeight * float64(span-c.meanGrantDuration))
 }
 
-// minPrefillTime is the shortest time from a grant to the first token, on the fastest engine of the pool.
+// minPrefillTime is the shortest time from a grant to the first token, on the fastest engine of the pool that has not been
+// removed from the configuration.
 func (c *Core) minPrefillTime(ent *entry) core.Micros {
 	best := core.Micros(-1)
 	for _, e := range c.engines {
+		if e.removed {
+			continue
+		}
 		if span := processingTime(float64(ent.uncached)/float64(ent.parts), e.rate()); best < 0 || span < best {
 			best = span
 		}
--- a/internal/console/draft.go
+++ b/internal/console/draft.go
@@ -156,6 +156,7 @@
 	report *conflictReport, err error,
 ) {
 	var found *findings.Error
+	var conflict *confstore.ConflictError
 	switch {
 	case report != nil:
 		c.renderDraft(w, s, http.StatusConflict, draftBody{
@@ -170,6 +171,10 @@
 			Problem: "The platform's answer was lost, and it is unknown whether the change was accepted. Look at the list" +
 				" of versions before you confirm again.",
 		})
+	case errors.As(err, &conflict):
+		c.renderDraft(w, s, http.StatusConflict, draftBody{
+			Problem: "Other operators changed the configuration during each attempt. Nothing was applied; confirm again.",
+		})
 	case err != nil:
 		c.renderPlatformError(w, s, err)
 	default:
--- a/internal/crashes/set.go
+++ b/internal/crashes/set.go
@@ -109,8 +109,12 @@
 	return s.count(f)
 }
 
-// AddVerdict adds a verdict that was read from the platform's store.
-func (s *Set) AddVerdict(f Fingerprint, made core.Micros) {
+// AddVerdict adds a verdict that was read from the platform's store. A verdict more than maxClockSkew in the future is
+// ignored, like such records.
+func (s *Set) AddVerdict(now core.Micros, f Fingerprint, made core.Micros) {
+	if made > now+maxClockSkew {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.verdicts[f] = max(made, s.verdicts[f])
--- a/internal/ctl/document.go
+++ b/internal/ctl/document.go
@@ -19,11 +19,20 @@
 // readFile reads a file, or up to maxDocumentBytes of standard input if the name is "-".
 func (c *cli) readFile(name string) ([]byte, error) {
 	if name == "-" {
-		return io.ReadAll(io.LimitReader(c.env.Stdin, maxDocumentBytes))
+		return readLimited(c.env.Stdin, maxDocumentBytes)
 	}
 	return os.ReadFile(name)
 }
 
+// readLimited reads everything, or returns an error if that is more than limit bytes.
+func readLimited(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, errors.Newf("standard input exceeds %d bytes", limit)
+	}
+	return data, err
+}
+
 // readDocument reads and parses a document. Findings are printed and returned as an error with ExitFindings.
 func (c *cli) readDocument(name string) (*config.Document, error) {
 	data, err := c.readFile(name)
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -130,7 +130,7 @@
 		c.log.Warn("stored verdict is invalid", "object", platform.KindVerdict+"/"+object.Name, "err", err)
 		return
 	}
-	c.set.AddVerdict(crashes.Fingerprint(fingerprint), v.MadeMicros)
+	c.set.AddVerdict(now(), crashes.Fingerprint(fingerprint), v.MadeMicros)
 }
 
 func (c *crashRecorder) retry(ctx context.Context, operation string, f func() error) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -125,8 +125,10 @@
 	return pages * os.Getpagesize() >> 20, err == nil
 }
 
-// kill sends SIGKILL to the process and waits until it has exited.
+// kill sends SIGKILL to the process and waits until it has exited. A process that was never started needs no kill.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL, true)
-	<-p.exitedChan()
+	if exited := p.exitedChan(); exited != nil {
+		<-exited
+	}
 }
