Leave servers that say so alone, respect their Retry-After, and mend two reds of carobedge

A server that leaves says so in all its answers, also while the store is away or a stale entry still says ready; a server that turns a request away with 503 may ask for a pause. Neither header was read. Change: dispatch keeps a standing for each server process (ID and start time): leaving for good, or paused up to a minute, with one request first after it. Every answer is observed: successes, refusals, errors, heads of streams, reports, orders, skipped and late ones. Leaving is told to neighbours at once, in summaries for 1.2 s, in full summaries and in fetches. If all servers asked for a pause that ends after the request is due, it is refused at once with the earliest end. Reports skip such servers; the reservations of running requests are renewed every 2 s there instead of every second. Reds: a starting daemon fetches newer server entries after 0.8 s, at most one fetch at a time, instead of ignoring them for 2 s; it removes its own entry only after a write of that entry that is in progress, which a stop no longer cuts off. Ruled out: keeping the notice in the list of servers, which loses it when an entry disappears and returns.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,6 +38,7 @@
 	jobs         map[uint64]*job
 	waiting      []*Work
 	prefillLoads prefillLoadList
+	standings    standings
 	daemons      int
 	timerAt      core.Micros
 	out          []Effect
@@ -51,7 +52,8 @@
 // New returns the reducer of a daemon in the given failure domain.
 func New(domain string) *Core {
 	return &Core{
-		domain: domain, servers: map[string]*server{}, services: map[string]*service{}, jobs: map[uint64]*job{}, daemons: 1,
+		domain: domain, servers: map[string]*server{}, services: map[string]*service{}, jobs: map[uint64]*job{},
+		standings: standings{}, daemons: 1,
 	}
 }
 
@@ -69,6 +71,7 @@
 		c.cancelled(e)
 	case FirstEvent:
 		if j := c.jobs[e.ID]; j != nil {
+			j.answered()
 			c.firstEvent(j, e.Now)
 			c.emit(AnnounceFirst{ID: e.ID})
 		}
@@ -80,6 +83,8 @@
 		}
 	case ServerAlive:
 		c.serverAlive(e)
+	case ServerNotice:
+		c.serverNotice(e)
 	case DaemonCountChanged:
 		c.daemons = max(1, e.Count)
 	case Tick:
@@ -103,6 +108,8 @@
 
 func (c *Core) stepPeer(ev Event) {
 	switch e := ev.(type) {
+	case PeerSawLeaving:
+		c.peerSawLeaving(e)
 	case PeerPlaced:
 		c.peerPlaced(e)
 	case PeerFirst:
@@ -142,10 +149,14 @@
 		if state == nil || state.Address != s.Address || state.StartedAt != s.StartedAt {
 			state = newServer(s, svc.Model)
 		}
-		state.Server, state.model = s, svc.Model
+		state.Server, state.model, state.standing = s, svc.Model, c.standings[s.Process()]
 		c.servers[s.ID] = state
 		svc.servers = append(svc.servers, state)
 	}
+	c.standings.prune(e.Now, func(p Process) bool {
+		s := c.servers[p.ID]
+		return s != nil && s.Process() == p
+	})
 }
 
 func (c *Core) serverAlive(e ServerAlive) {
@@ -176,6 +187,7 @@
 		return
 	}
 	j.lead.succeeded()
+	j.answered()
 	c.endJob(j)
 	c.emit(AnnounceEnd{ID: e.ID})
 	c.processWaiting(e.Now)
@@ -206,6 +218,7 @@
 
 func (c *Core) endJob(j *job) {
 	delete(c.jobs, j.id)
+	j.ended()
 	j.lead.removeJob(j)
 	c.dropPrefills(j, 0)
 }
@@ -314,6 +327,10 @@
 		c.assign(now, w, o)
 		return true
 	}
+	if resume, paused := c.pausedUntil(now, w, svc); paused && resume >= min(w.FirstEventDue, w.AbandonAt, w.Deadline) {
+		c.emit(Refuse{ID: w.ID, RetryAfter: resume - now, Reason: "all servers of the service asked for a pause"})
+		return true
+	}
 	patience := min(w.AbandonAt, w.Deadline) - w.Arrived
 	if o == nil && now-w.Arrived > core.Micros(float64(patience)*refuseAfterShare) {
 		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
@@ -345,7 +362,7 @@
 	var healthy, suspects []*candidate
 	lossRate := queueLossRate(svc)
 	for _, s := range svc.servers {
-		if s.Leaving || slices.Contains(w.Exclude, s.ID) {
+		if s.Leaving || !s.standing.admits(now) || slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
 		cand := &candidate{server: s, queueLossPerMs: lossRate}
@@ -366,6 +383,22 @@
 	return suspects
 }
 
+// pausedUntil reports whether all servers that could receive the request have asked for a pause, and the earliest end.
+func (c *Core) pausedUntil(now core.Micros, w *Work, svc *service) (earliest core.Micros, paused bool) {
+	for _, s := range svc.servers {
+		if s.Leaving || slices.Contains(w.Exclude, s.ID) || s.standing != nil && s.standing.leaving {
+			continue
+		}
+		if s.standing == nil || !s.standing.pause.active(now) {
+			return 0, false
+		}
+		if until := s.standing.pause.until; !paused || until < earliest {
+			earliest, paused = until, true
+		}
+	}
+	return earliest, paused
+}
+
 // queueLossRate returns the loss for each millisecond by which the queue of an engine exceeds queueThresholdMs.
 func queueLossRate(svc *service) float64 {
 	benefit := 0.0
@@ -418,6 +451,10 @@
 		plan.Helpers = append(plan.Helpers, h.Server)
 		announced.Helpers = append(announced.Helpers, h.ID)
 	}
+	o.lead.standing.sent(w.ID)
+	for _, r := range o.reservations {
+		r.server.standing.sent(w.ID)
+	}
 	for _, r := range o.reservations {
 		plan.Reservations = append(plan.Reservations, Reservation{Server: r.server.ID, Tokens: r.tokens})
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -251,8 +251,8 @@
 func codec() *golden.Codec {
 	return golden.NewCodec(
 		ServersChanged{}, Arrived{}, Cancelled{}, FirstEvent{}, Finished{}, ServerFailed{}, ServerAlive{}, PeerPlaced{},
-		PeerFirst{}, PeerEnded{}, PeerJobs{}, PeerRestarted{}, DaemonCountChanged{}, Tick{}, Assign{}, Refuse{}, Announce{},
-		AnnounceFirst{}, AnnounceEnd{}, SetTimer{},
+		PeerFirst{}, PeerEnded{}, PeerJobs{}, PeerRestarted{}, PeerSawLeaving{}, ServerNotice{}, DaemonCountChanged{}, Tick{},
+		Assign{}, Refuse{}, Announce{}, AnnounceFirst{}, AnnounceEnd{}, AnnounceLeaving{}, PauseStarted{}, SetTimer{},
 	)
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -46,6 +46,17 @@
 		Slowdown float64
 		Direct   bool
 	}
+	// ServerNotice reports what a process said about itself in a response to this daemon.
+	ServerNotice struct {
+		Now     core.Micros
+		Process Process
+		Notice  Notice
+	}
+	// PeerSawLeaving reports that a process told a peer that it is leaving.
+	PeerSawLeaving struct {
+		Now     core.Micros
+		Process Process
+	}
 	// PeerPlaced announces a job of a peer.
 	PeerPlaced struct {
 		Now  core.Micros
@@ -90,6 +101,8 @@
 func (Finished) event()           {}
 func (ServerFailed) event()       {}
 func (ServerAlive) event()        {}
+func (ServerNotice) event()       {}
+func (PeerSawLeaving) event()     {}
 func (PeerPlaced) event()         {}
 func (PeerFirst) event()          {}
 func (PeerEnded) event()          {}
@@ -125,15 +138,26 @@
 	AnnounceEnd struct {
 		ID uint64
 	}
+	// AnnounceLeaving informs the peers that a process is leaving.
+	AnnounceLeaving struct {
+		Process Process
+	}
+	// PauseStarted reports for the log that a process asked for a pause; Text is the length as sent.
+	PauseStarted struct {
+		Process Process
+		Text    string
+	}
 	// SetTimer requests a Tick at the given time; a later SetTimer replaces it.
 	SetTimer struct {
 		At core.Micros
 	}
 )
 
-func (Assign) effect()        {}
-func (Refuse) effect()        {}
-func (Announce) effect()      {}
-func (AnnounceFirst) effect() {}
-func (AnnounceEnd) effect()   {}
-func (SetTimer) effect()      {}
+func (Assign) effect()          {}
+func (Refuse) effect()          {}
+func (Announce) effect()        {}
+func (AnnounceFirst) effect()   {}
+func (AnnounceEnd) effect()     {}
+func (AnnounceLeaving) effect() {}
+func (PauseStarted) effect()    {}
+func (SetTimer) effect()        {}
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -70,6 +70,9 @@
 	return max(minBenefit, benefit)
 }
 
+// EstimateBenefit estimates the benefit of a request from its length in tokens. Only ratios between requests matter.
+func EstimateBenefit(prompt, answer int) float64 { return estimateBenefit(prompt, answer) }
+
 // lateProbability returns the probability that an event with the given predicted delay comes later than target.
 func lateProbability(predicted, target float64) float64 {
 	if target <= 0 {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -48,6 +48,22 @@
 	late bool
 }
 
+// answered records that the servers to which the job was sent serve it.
+func (j *job) answered() {
+	j.lead.standing.answered(j.id)
+	for _, r := range j.reservations {
+		r.server.standing.answered(j.id)
+	}
+}
+
+// ended records that the job has ended on the servers to which it was sent.
+func (j *job) ended() {
+	j.lead.standing.ended(j.id)
+	for _, r := range j.reservations {
+		r.server.standing.ended(j.id)
+	}
+}
+
 // reservation is KV cache memory that a job reserves on a helper.
 type reservation struct {
 	server *server
@@ -72,6 +88,8 @@
 	// suspectStreak counts the suspect periods since the last success.
 	suspectStreak int
 	failureRate   float64
+	// standing is what the process has said about itself; nil if nothing.
+	standing *standing
 }
 
 func newServer(s Server, model *enginecost.Model) *server {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -6,7 +6,9 @@
 //
 //   - A waiting request is assigned at most once; after that it finishes or is cancelled.
 //   - The memory and slots counted on a server are exactly those of its jobs.
-//   - A server that is leaving or unknown is never assigned.
+//   - A server that is leaving or unknown is never assigned, whether its entry or the process itself says that it is
+//     leaving.
+//   - A server that asked this daemon for a pause is not assigned before its end.
 package dispatch
 
 import (
--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -31,16 +31,19 @@
 type Report struct {
 	// Slowdown is how many times slower than its cost model the server works; 0 if it is not reported.
 	Slowdown float64
+	Notice   dispatch.Notice
 }
 
 // EngineClient fetches reports of backend servers and reserves memory on them.
+//
+// All calls also return what the server said about itself, with an error too if it answered.
 type EngineClient interface {
 	Report(ctx context.Context, address string) (Report, error)
 	// Reserve reserves memory for a number of tokens under an id for the duration hold, or extends the reservation with
 	// that id.
-	Reserve(ctx context.Context, address, id string, tokens int, hold time.Duration) error
+	Reserve(ctx context.Context, address, id string, tokens int, hold time.Duration) (dispatch.Notice, error)
 	// Release ends the reservation with an id.
-	Release(ctx context.Context, address, id string) error
+	Release(ctx context.Context, address, id string) (dispatch.Notice, error)
 }
 
 // Codec decodes objects of the store and translates headers.
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -68,8 +68,11 @@
 	// fullSummaryDue is set when a neighbour has joined and needs the details of all jobs.
 	fullSummaryDue atomic.Bool
 	fetching       atomic.Bool
+	fetchScheduled atomic.Bool
 	draining       atomic.Bool
 	drained        chan struct{}
+	// ownEntryMu serializes the writes and the removal of this daemon's entry in the store.
+	ownEntryMu sync.Mutex
 }
 
 // Start adds the actors of a daemon to the environment of its process.
@@ -82,7 +85,7 @@
 	d.latestSettings.Store(s)
 	s.applyMemoryLimit()
 	d.servers = newServerList(a.Codec, env.Log)
-	d.scheduler = newScheduler(s.FailureDomain, d.now)
+	d.scheduler = newScheduler(s.FailureDomain, d.now, env.Log)
 	d.budget = retrybudget.New(s.Retry.limits(), initialDaemonCount, d.now)
 	link, err := neighbors.Listen(d.self(), d, env.Log)
 	if err != nil {
@@ -98,7 +101,7 @@
 	})
 	d.handler = &forward.Handler{
 		HeaderCodec: a.Codec, Scheduler: d.scheduler, Budget: d.budget, CrashTracker: (*crashTracker)(d), Pool: d.pool,
-		Memory: &reservations{engines: a.Engines, address: d.addressOf, log: env.Log},
+		Memory: &reservations{engines: a.Engines, server: d.serverByID, scheduler: d.scheduler, log: env.Log},
 		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.Scope),
 	}
 	return d.addActors(env)
@@ -198,15 +201,15 @@
 	}
 	cells := d.link.CellCount()
 	return slices.DeleteFunc(list, func(s dispatch.Server) bool {
-		return count[s.Service] >= minServersPerCell*cells && !d.link.InCell(s.ID)
+		return count[s.Service] >= minServersPerCell*cells && !d.link.InCell(s.ID, s.Domain)
 	})
 }
 
-func (d *Daemon) addressOf(server string) (string, bool) {
+func (d *Daemon) serverByID(id string) (dispatch.Server, bool) {
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
-	s, ok := d.servers.servers[server]
-	return s.Address, ok
+	s, ok := d.servers.servers[id]
+	return s, ok
 }
 
 // housekeep periodically drops expired servers and idle connections, and updates what depends on the number of daemons.
@@ -215,7 +218,7 @@
 		d.serversMu.Lock()
 		dropped := d.servers.expire(time.Now())
 		d.serversMu.Unlock()
-		if dropped || d.link.CellCountChanged() {
+		if dropped || d.link.CellsChanged() {
 			d.updateServers()
 		}
 		d.budget.SetDaemons(d.link.DaemonCount())
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -1,15 +1,21 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/directory"
 	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/neighbors"
+	"github.com/carobstile/carobstile/internal/routing"
 )
 
 // nopHandler ignores all calls of the link.
@@ -46,3 +52,64 @@
 	require.Less(t, count["llm"], engines)
 	require.Positive(t, count["llm"])
 }
+
+// Guards against a daemon that has just started, and that the store refuses, which takes no server entries from its
+// neighbours although it did not get the datagram with a change.
+func TestStartingDaemonFetchesEntries(t *testing.T) {
+	d := &Daemon{start: time.Now(), serversListed: true, log: evlog.Discard()}
+	d.config = directory.NewFollower(KindConfig, nil, d.log, directory.Options{})
+	d.serverEntries = directory.NewFollower(KindServers, nil, d.log, directory.Options{})
+	d.table.Store(routing.NewTable(routing.Config{Version: 3}))
+	newer := &carobstilev1.EdgePacket{ConfigVersion: 3, ServersRevision: 9, ServersDigest: 7}
+	require.True(t, d.startingUp())
+	require.Equal(t, []string{KindServers}, d.outdatedKinds(newer))
+	same := &carobstilev1.EdgePacket{ConfigVersion: 3, ServersRevision: 9}
+	require.Empty(t, d.outdatedKinds(same))
+}
+
+// slowMemberStore records the writes and removals of a daemon's entry. A write takes effect after a delay.
+type slowMemberStore struct {
+	Store
+	delay time.Duration
+
+	mu      sync.Mutex
+	writes  int
+	present bool
+}
+
+func (s *slowMemberStore) PutMember(ctx context.Context, _ string, _ []byte) error {
+	time.Sleep(s.delay)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.present = true
+	return nil
+}
+
+func (s *slowMemberStore) DeleteMember(context.Context, string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.present = false
+	return nil
+}
+
+// Guards against an entry that stays in the store because the daemon removed it before its own first write took effect.
+func TestEntryIsRemovedAfterItsWrite(t *testing.T) {
+	store := &slowMemberStore{delay: 100 * time.Millisecond}
+	d := &Daemon{settings: &Settings{Name: "a"}, adapter: Adapter{Store: store}, log: evlog.Discard()}
+	ctx, cancel := context.WithCancel(t.Context())
+	written := make(chan error, 1)
+	go func() { written <- d.writeOwnEntry(ctx) }()
+	time.Sleep(20 * time.Millisecond)
+	cancel()
+	d.draining.Store(true)
+	d.removeOwnEntry()
+	require.NoError(t, <-written)
+	require.Equal(t, 1, store.writes)
+	require.False(t, store.present)
+	require.NoError(t, d.writeOwnEntry(t.Context()))
+	require.False(t, store.present, "written while the daemon stops")
+}
--- a/internal/edge/fetch.go
+++ b/internal/edge/fetch.go
@@ -68,12 +68,9 @@
 	for _, c := range m.GetCrashes() {
 		d.recordCrash(c, false)
 	}
+	d.scheduler.recordLeaving(m.GetLeaving())
 	for _, i := range m.GetImages() {
-		diff, err := decodeDiff(i)
-		if err != nil {
-			d.log.Warn("failed to decode copy of a neighbour", "kind", i.GetKind(), "err", err)
-			continue
-		}
+		diff := d.decodeDiff(i)
 		switch i.GetKind() {
 		case KindConfig:
 			d.config.Adopt(diff)
@@ -95,7 +92,7 @@
 	if sender := req.Msg.GetSender(); sender != nil {
 		s.d.link.AddMember(sender)
 	}
-	out := &carobstilev1.FetchResponse{Members: s.d.link.Members()}
+	out := &carobstilev1.FetchResponse{Members: s.d.link.Members(), Leaving: s.d.scheduler.leavingProcesses()}
 	for _, r := range s.d.crashes.Records(s.d.now()) {
 		out.Crashes = append(out.Crashes, &carobstilev1.EdgeCrash{
 			Fingerprint: []byte(r.Fingerprint), Server: r.Incarnation,
@@ -129,17 +126,28 @@
 	return out, nil
 }
 
-func decodeDiff(i *carobstilev1.EdgeImage) (directory.Diff, error) {
+// decodeDiff decodes a neighbour's copy. Objects that cannot be decoded are left out.
+func (d *Daemon) decodeDiff(i *carobstilev1.EdgeImage) directory.Diff {
 	out := directory.Diff{
 		Image: directory.Image{Kind: i.GetKind(), Revision: i.GetRevision(), Objects: map[string]platform.Object{}},
 		Full:  i.GetWhole(), Buckets: i.GetBuckets(),
 	}
-	for _, data := range i.GetObjects() {
+	for _, o := range d.decodeObjects(i.GetObjects()) {
+		out.Objects[o.Name] = o
+	}
+	return out
+}
+
+// decodeObjects decodes the objects in a neighbour's message and leaves out those that cannot be decoded.
+func (d *Daemon) decodeObjects(encoded [][]byte) []platform.Object {
+	out := make([]platform.Object, 0, len(encoded))
+	for _, data := range encoded {
 		var o platform.Object
 		if err := json.Unmarshal(data, &o); err != nil {
-			return directory.Diff{}, errors.Wrap(err, "decode object")
+			d.log.Warn("failed to decode object of a neighbour", "bytes", len(data), "err", err)
+			continue
 		}
-		out.Objects[o.Name] = o
+		out = append(out, o)
 	}
-	return out, nil
+	return out
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -22,6 +22,8 @@
 	memberListInterval = 12 * time.Second
 	// deadDaemonTimeout is how long a daemon has to be silent before another daemon removes its entry.
 	deadDaemonTimeout = 40 * time.Second
+	// deleteMemberTimeout bounds the removal of the daemon's own entry.
+	deleteMemberTimeout = 500 * time.Millisecond
 )
 
 // maintainMembership writes the daemon's own entry, adds the daemons that the store lists, and removes the entries of
@@ -46,11 +48,7 @@
 // refreshMembers writes the daemon's own entry unless the store is known to list it, and reads the list of daemons.
 func (d *Daemon) refreshMembers(ctx context.Context, written *bool) error {
 	if !*written {
-		value, err := json.Marshal(d.self())
-		if err != nil {
-			return errors.Wrap(err, "encode own entry")
-		}
-		if err := d.adapter.Store.PutMember(ctx, d.settings.Name, value); err != nil {
+		if err := d.writeOwnEntry(ctx); err != nil {
 			return err
 		}
 	}
@@ -63,13 +61,42 @@
 	return nil
 }
 
+// writeOwnEntry writes the daemon's own entry unless the daemon is stopping. A write that has started is completed even
+// if ctx ends, so that removeOwnEntry can remove its result.
+func (d *Daemon) writeOwnEntry(ctx context.Context) error {
+	d.ownEntryMu.Lock()
+	defer d.ownEntryMu.Unlock()
+	if d.draining.Load() {
+		return nil
+	}
+	value, err := json.Marshal(d.self())
+	if err != nil {
+		return errors.Wrap(err, "encode own entry")
+	}
+	return d.adapter.Store.PutMember(context.WithoutCancel(ctx), d.settings.Name, value)
+}
+
+// removeOwnEntry removes the daemon's own entry, after a write of the entry that is in progress.
+func (d *Daemon) removeOwnEntry() {
+	d.ownEntryMu.Lock()
+	defer d.ownEntryMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), deleteMemberTimeout)
+	defer cancel()
+	if err := d.adapter.Store.DeleteMember(ctx, d.settings.Name); err != nil {
+		d.log.Warn("failed to remove own entry", "err", err)
+	}
+}
+
 // addMembers adds the listed daemons to the link and removes the entries of dead ones.
 func (d *Daemon) addMembers(ctx context.Context, image directory.Image) {
 	live := d.link.Live()
 	for name, o := range image.Objects {
 		m := &carobstilev1.EdgeMember{}
-		if err := json.Unmarshal(o.Value, m); err != nil {
-			d.log.Warn("failed to decode entry of daemon", "daemon", name, "err", err)
+		if len(o.Value) == 0 {
+			continue // the store client has logged it
+		}
+		if err := json.Unmarshal(o.Value, m); err != nil || m.GetName() != name {
+			d.log.Warn("entry of daemon does not describe it", "daemon", name, "revision", o.Version, "err", err)
 			continue
 		}
 		d.link.AddMember(m)
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -16,6 +16,8 @@
 const fetchDelay = 200 * time.Millisecond
 
 const (
+	// startupFetchDelay replaces fetchDelay while the daemon starts up.
+	startupFetchDelay = 800 * time.Millisecond
 	// secondSeedDelay is the delay of a starting daemon's second fetch from a seed. Daemons that started together have
 	// reached a seed by then.
 	secondSeedDelay = time.Second
@@ -52,6 +54,7 @@
 	for _, f := range p.GetFaults() {
 		d.scheduler.Step(dispatch.ServerFailed{Now: now, Server: f.GetServer(), Fault: dispatch.Fault(f.GetFault())})
 	}
+	d.scheduler.recordLeaving(p.GetLeaving())
 	for _, r := range p.GetReports() {
 		d.scheduler.Step(dispatch.ServerAlive{Now: now, Server: r.GetServer(), Slowdown: r.GetPace()})
 	}
@@ -62,14 +65,27 @@
 		d.applyDelta(delta)
 	}
 	if len(d.outdatedKinds(p)) > 0 {
-		time.AfterFunc(fetchDelay, func() {
-			if kinds := d.outdatedKinds(p); len(kinds) > 0 {
-				d.fetch(p.GetSender().GetServiceAddress(), kinds...)
-			}
-		})
+		d.scheduleFetch(p)
 	}
 }
 
+// scheduleFetch fetches the sender's copies if they are still newer after a delay. Only one fetch is scheduled at a time.
+func (d *Daemon) scheduleFetch(p *carobstilev1.EdgePacket) {
+	if !d.fetchScheduled.CompareAndSwap(false, true) {
+		return
+	}
+	delay := fetchDelay
+	if d.startingUp() {
+		delay = startupFetchDelay
+	}
+	time.AfterFunc(delay, func() {
+		d.fetchScheduled.Store(false)
+		if kinds := d.outdatedKinds(p); len(kinds) > 0 {
+			d.fetch(p.GetSender().GetServiceAddress(), kinds...)
+		}
+	})
+}
+
 // outdatedKinds returns the kinds of objects of which the sender has a newer state.
 func (d *Daemon) outdatedKinds(p *carobstilev1.EdgePacket) []string {
 	own := &carobstilev1.EdgePacket{}
@@ -78,15 +94,18 @@
 	if p.GetConfigVersion() > own.GetConfigVersion() {
 		kinds = append(kinds, KindConfig)
 	}
-	if p.GetServersRevision() > own.GetServersRevision() && p.GetServersDigest() != own.GetServersDigest() && !d.startingUp() {
+	if p.GetServersRevision() > own.GetServersRevision() && p.GetServersDigest() != own.GetServersDigest() {
 		kinds = append(kinds, KindServers)
 	}
 	return kinds
 }
 
-// startingUp reports whether this daemon is initialized but started less than startupPeriod ago. While a deployment
-// starts, the servers' entries change continuously and neighbours' copies would be outdated at once.
-func (d *Daemon) startingUp() bool { return d.initialized() && time.Since(d.start) < startupPeriod }
+// startingUp reports whether this daemon is initialized but started less than startupPeriod ago, and the store answers
+// it. While a deployment starts, the servers' entries change continuously and neighbours' copies are outdated at once.
+// A daemon that the store refuses has no other source of changes than its neighbours.
+func (d *Daemon) startingUp() bool {
+	return d.initialized() && time.Since(d.start) < startupPeriod && !d.storeFailing()
+}
 
 // fillVersions sets the versions of this daemon's copies of the store.
 func (d *Daemon) fillVersions(p *carobstilev1.EdgePacket) {
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -30,14 +30,14 @@
 	})
 }
 
-// engines returns the servers of services with a cost model, without those that are leaving.
+// engines returns the servers of services with a cost model, without those that are leaving or asked for a pause.
 func (d *Daemon) engines() []dispatch.Server {
 	table := d.table.Load()
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
 	var out []dispatch.Server
 	for _, s := range d.usableServers() {
-		if table == nil || s.Leaving {
+		if table == nil || s.Leaving || !d.scheduler.Accepts(s.Process()) {
 			continue
 		}
 		if service := table.Service(s.Service); service != nil && service.Engine != nil {
@@ -52,11 +52,12 @@
 	for range reportAttempts {
 		var report Report
 		report, err = d.fetchReport(ctx, s.Address)
+		accepts := d.scheduler.RecordNotice(s.Process(), report.Notice)
 		if err == nil {
 			d.recordReport(s, report)
 			return
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !accepts {
 			return
 		}
 	}
--- a/internal/edge/reservations.go
+++ b/internal/edge/reservations.go
@@ -19,6 +19,9 @@
 	reservationTTL = 3500 * time.Millisecond
 	// renewInterval leaves time for two more attempts before a reservation expires.
 	renewInterval = time.Second
+	// pausedRenewInterval replaces renewInterval for servers that asked for a pause or are leaving: one call, and one more
+	// attempt, before the reservation of a running request expires.
+	pausedRenewInterval = 2 * time.Second
 	// reservationCallTimeout bounds one call that reserves, renews or releases.
 	reservationCallTimeout = 400 * time.Millisecond
 	// releaseAttempts is how often a release is attempted; after that, the reservation expires after reservationTTL.
@@ -27,9 +30,10 @@
 
 // reservations reserves memory on engines for running requests.
 type reservations struct {
-	engines EngineClient
-	address func(server string) (string, bool)
-	log     *slog.Logger
+	engines   EngineClient
+	server    func(id string) (dispatch.Server, bool)
+	scheduler *scheduler
+	log       *slog.Logger
 }
 
 // Reserve implements forward.MemoryReserver.
@@ -39,13 +43,16 @@
 	names := make(map[string]string, len(list))
 	group := make([]*reservation, 0, len(list))
 	for i, r := range list {
-		address, ok := m.address(r.Server)
+		server, ok := m.server(r.Server)
 		if !ok {
 			return nil, nil, errors.Newf("reserve memory: no address known for server %s", r.Server)
 		}
+		if !m.scheduler.Accepts(server.Process()) {
+			return nil, nil, errors.Newf("reserve memory: server %s accepts no requests now", r.Server)
+		}
 		name := strconv.FormatUint(id, 36) + "-" + strconv.Itoa(i)
 		names[r.Server] = name
-		group = append(group, &reservation{name: name, address: address, tokens: r.Tokens, server: r.Server})
+		group = append(group, &reservation{name: name, server: server, tokens: r.Tokens})
 	}
 	if err := m.reserveAll(ctx, group); err != nil {
 		m.releaseAll(group)
@@ -62,8 +69,11 @@
 }
 
 type reservation struct {
-	name, address, server string
-	tokens                int
+	name   string
+	server dispatch.Server
+	tokens int
+	// renewedAt is when the reservation was last ordered or extended.
+	renewedAt time.Time
 }
 
 // reserveAll reserves memory on all engines in parallel.
@@ -80,8 +90,10 @@
 func (m *reservations) reserve(ctx context.Context, r *reservation) error {
 	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
 	defer cancel()
-	err := m.engines.Reserve(ctx, r.address, r.name, r.tokens, reservationTTL)
-	return errors.Wrapf(err, "reserve memory on %s", r.server)
+	r.renewedAt = time.Now()
+	notice, err := m.engines.Reserve(ctx, r.server.Address, r.name, r.tokens, reservationTTL)
+	m.scheduler.RecordNotice(r.server.Process(), notice)
+	return errors.Wrapf(err, "reserve memory on %s", r.server.ID)
 }
 
 func (m *reservations) renew(ctx context.Context, r *reservation) {
@@ -92,8 +104,11 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			if !m.scheduler.Accepts(r.server.Process()) && time.Since(r.renewedAt) < pausedRenewInterval {
+				continue
+			}
 			if err := m.reserve(ctx, r); err != nil && ctx.Err() == nil {
-				m.log.Warn("failed to renew reservation", "reservation", r.name, "server", r.server, "err", err)
+				m.log.Warn("failed to renew reservation", "reservation", r.name, "server", r.server.ID, "err", err)
 			}
 		}
 	}
@@ -109,12 +124,15 @@
 func (m *reservations) release(r *reservation) {
 	var err error
 	for range releaseAttempts {
+		var notice dispatch.Notice
 		ctx, cancel := context.WithTimeout(context.Background(), reservationCallTimeout)
-		err = m.engines.Release(ctx, r.address, r.name)
+		notice, err = m.engines.Release(ctx, r.server.Address, r.name)
 		cancel()
-		if err == nil {
-			return
+		if accepts := m.scheduler.RecordNotice(r.server.Process(), notice); err == nil || !accepts {
+			break
 		}
 	}
-	m.log.Warn("failed to release reservation; it will expire", evlog.KeyObject, r.name, "server", r.server, "err", err)
+	if err != nil {
+		m.log.Warn("failed to release reservation; it will expire", evlog.KeyObject, r.name, "server", r.server.ID, "err", err)
+	}
 }
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
@@ -11,12 +12,14 @@
 	"github.com/carobstile/carobstile/internal/shell"
 )
 
-// jobRepeatPeriod is how long after its placement a job is repeated in summaries, in case the first datagram was lost.
+// jobRepeatPeriod is how long a new job, or a server that was heard to be leaving, is repeated in summaries, in case the
+// first datagram was lost.
 const jobRepeatPeriod = 1200 * core.Millisecond
 
 // scheduler runs dispatch.Core: it serializes the events and performs their effects.
 type scheduler struct {
 	now       func() core.Micros
+	log       *slog.Logger
 	broadcast func(urgent bool, add func(p *carobstilev1.EdgePacket))
 	timers    shell.Timers
 
@@ -37,9 +40,9 @@
 	placed core.Micros
 }
 
-func newScheduler(domain string, now func() core.Micros) *scheduler {
+func newScheduler(domain string, now func() core.Micros, log *slog.Logger) *scheduler {
 	return &scheduler{
-		now: now, core: dispatch.New(domain), waiting: map[uint64]chan placement{}, ownJobs: map[uint64]*ownJob{},
+		now: now, log: log, core: dispatch.New(domain), waiting: map[uint64]chan placement{}, ownJobs: map[uint64]*ownJob{},
 	}
 }
 
@@ -89,6 +92,46 @@
 	}
 }
 
+// RecordNotice implements forward.Scheduler.
+func (s *scheduler) RecordNotice(p dispatch.Process, n dispatch.Notice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !n.Empty() {
+		s.step(dispatch.ServerNotice{Now: s.now(), Process: p, Notice: n})
+	}
+	return s.core.Accepts(s.now(), p)
+}
+
+// Accepts reports whether a process may receive something new from this daemon now.
+func (s *scheduler) Accepts(p dispatch.Process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Accepts(s.now(), p)
+}
+
+// leavingProcesses returns all processes that are known to be leaving.
+func (s *scheduler) leavingProcesses() []*carobstilev1.EdgeProcess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encodeProcesses(s.core.LeavingProcesses())
+}
+
+func encodeProcesses(list []dispatch.Process) []*carobstilev1.EdgeProcess {
+	out := make([]*carobstilev1.EdgeProcess, 0, len(list))
+	for _, p := range list {
+		out = append(out, &carobstilev1.EdgeProcess{Server: p.ID, StartedAt: p.StartedAt})
+	}
+	return out
+}
+
+// recordLeaving records the processes that a neighbour reported as leaving.
+func (s *scheduler) recordLeaving(list []*carobstilev1.EdgeProcess) {
+	for _, p := range list {
+		process := dispatch.Process{ID: p.GetServer(), StartedAt: p.GetStartedAt()}
+		s.Step(dispatch.PeerSawLeaving{Now: s.now(), Process: process})
+	}
+}
+
 // Unreachable implements forward.Scheduler.
 func (s *scheduler) Unreachable(server string) bool {
 	s.mu.Lock()
@@ -123,6 +166,13 @@
 		case dispatch.AnnounceEnd:
 			delete(s.ownJobs, e.ID)
 			s.broadcast(false, func(p *carobstilev1.EdgePacket) { p.Ended = append(p.Ended, e.ID) })
+		case dispatch.PauseStarted:
+			s.log.Info("server asked for a pause", "server", e.Process.ID, "retry_after", e.Text)
+		case dispatch.AnnounceLeaving:
+			s.log.Info("server says that it is leaving", "server", e.Process.ID, "started_at", e.Process.StartedAt)
+			s.broadcast(true, func(p *carobstilev1.EdgePacket) {
+				p.Leaving = append(p.Leaving, encodeProcesses([]dispatch.Process{e.Process})...)
+			})
 		}
 	}
 }
@@ -147,6 +197,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	p.Leaving = encodeProcesses(s.core.HeardLeaving(now - jobRepeatPeriod))
+	if full {
+		p.Leaving = encodeProcesses(s.core.LeavingProcesses())
+	}
 	for id, j := range s.ownJobs {
 		p.Active = append(p.Active, id)
 		if full || now-j.placed < jobRepeatPeriod {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -28,8 +28,6 @@
 	exitReserve = 300 * time.Millisecond
 	// drainPollInterval is how often a stopping daemon checks whether its requests have ended.
 	drainPollInterval = 50 * time.Millisecond
-	// deleteMemberTimeout bounds the removal of the daemon's own entry.
-	deleteMemberTimeout = 500 * time.Millisecond
 )
 
 // serve opens the daemon's TCP addresses and adds their servers to the environment.
@@ -105,7 +103,11 @@
 	d.draining.Store(true)
 	d.log.Info("stopping", "open", d.handler.OpenRequests())
 	d.link.Leave()
-	d.removeOwnEntry()
+	entryRemoved := make(chan struct{})
+	go func() {
+		defer close(entryRemoved)
+		d.removeOwnEntry()
+	}()
 	server.SetKeepAlivesEnabled(false)
 	time.Sleep(drainAcceptPeriod - time.Since(stopStart))
 	d.handler.Drain()
@@ -116,13 +118,10 @@
 	if open := d.handler.OpenRequests(); open > 0 {
 		d.log.Warn("open requests cut off", "open", open)
 	}
-	_ = server.Close() // open requests are cut off on purpose
-}
-
-func (d *Daemon) removeOwnEntry() {
-	ctx, cancel := context.WithTimeout(context.Background(), deleteMemberTimeout)
-	defer cancel()
-	if err := d.adapter.Store.DeleteMember(ctx, d.settings.Name); err != nil {
-		d.log.Warn("failed to remove own entry", "err", err)
+	select {
+	case <-entryRemoved:
+	case <-time.After(time.Until(deadline)):
+		d.log.Warn("own entry is not removed: the store has not answered")
 	}
+	_ = server.Close() // open requests are cut off on purpose
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -22,8 +23,11 @@
 	// attemptTimeoutShare is the share of the remaining time that an idempotent request waits for the response header
 	// of a server while it can still be retried.
 	attemptTimeoutShare = 0.45
-	// maxAnswerBytes bounds answers that are buffered before they are forwarded.
-	maxAnswerBytes = 8 << 20
+	// maxAnswerBytes bounds one answer that is buffered before it is forwarded, maxBufferedBytes all of them together.
+	maxAnswerBytes   = 8 << 20
+	maxBufferedBytes = 32 << 20
+	// answerChunkBytes is the unit in which answers are read and counted.
+	answerChunkBytes = 32 << 10
 	// The caller of a stream is expected to leave after the longest of minEventWait, eventWaitFirstTargets times the
 	// route's target for the first event, and eventWaitPauseTargets times its target for pauses without an event, as
 	// stated by the platform's users.
@@ -190,7 +194,11 @@
 	r := &upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: q.h.HeaderCodec.Outgoing(q.r.Header, headers),
 		Body: q.body, NewConn: q.route.RetryMode == routing.AtMostOnce, Deadline: time.Now().Add(left),
-		HeaderTimeout: q.headerTimeout(), Matches: func(h http.Header) bool { return q.h.HeaderCodec.Matches(h, q.ID) },
+		HeaderTimeout: q.headerTimeout(),
+		Matches:       func(h http.Header, sole bool) bool { return q.h.HeaderCodec.Matches(h, q.ID, sole) },
+		Observe: func(status int, h http.Header) bool {
+			return q.h.Scheduler.RecordNotice(plan.Lead.Process(), q.h.HeaderCodec.Notice(status, h))
+		},
 	}
 	return q.h.Pool.Send(ctx, upstream.Target{ID: plan.Lead.ID, Address: plan.Lead.Address}, r)
 }
@@ -210,7 +218,7 @@
 	q.excludedServers = append(q.excludedServers, plan.Lead.ID)
 	q.reason = err.Error()
 	if errors.Is(err, upstream.ErrNotSent) {
-		if q.ctx.Err() == nil {
+		if q.ctx.Err() == nil && !errors.Is(err, upstream.ErrDeclined) {
 			q.recordFault(plan, dispatch.FaultUnreachable)
 		}
 		return outcomeRetry
@@ -225,7 +233,9 @@
 		return outcomeRetry
 	}
 	q.recordFault(plan, dispatch.FaultBroken)
-	q.h.CrashTracker.RecordCrash(q.fingerprint, plan.Lead.ID)
+	if !errors.Is(err, upstream.ErrInvalidResponse) {
+		q.h.CrashTracker.RecordCrash(q.fingerprint, plan.Lead.ID)
+	}
 	return outcomeRetry
 }
 
@@ -300,11 +310,14 @@
 // handleBuffered reads an answer that is not a stream and forwards it. A server error is returned instead, since
 // another server may still run the request successfully.
 func (q *request) handleBuffered(plan dispatch.Plan, id uint64, resp *upstream.Response) (outcome, *bufferedAnswer) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	body, err := q.readAnswer(resp)
 	if err != nil || !resp.Complete() {
 		q.h.Scheduler.RecordCancellation(id)
 		q.excludedServers = append(q.excludedServers, plan.Lead.ID)
 		q.reason = "answer of the server ended early"
+		if errors.Is(err, errAnswerTooLarge) {
+			q.reason = err.Error()
+		}
 		if q.ctx.Err() == nil {
 			q.recordFault(plan, dispatch.FaultBroken)
 		}
@@ -322,6 +335,27 @@
 	return outcomeServerError, answer
 }
 
+var errAnswerTooLarge = errors.New("answer of the server is too large to be buffered")
+
+// readAnswer reads a whole answer into memory.
+func (q *request) readAnswer(answer io.Reader) ([]byte, error) {
+	var body bytes.Buffer
+	for {
+		q.bufferedBytes += answerChunkBytes
+		total := q.h.bufferedBytes.Add(answerChunkBytes)
+		if body.Len() >= maxAnswerBytes || total > maxBufferedBytes {
+			return nil, errAnswerTooLarge
+		}
+		_, err := io.CopyN(&body, answer, answerChunkBytes)
+		if errors.Is(err, io.EOF) {
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // writeAnswer writes a buffered answer to the caller.
 func (q *request) writeAnswer(answer *bufferedAnswer) {
 	copyHeader(q.w.Header(), answer.header)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -52,7 +52,9 @@
 
 	draining     atomic.Bool
 	openRequests atomic.Int64
-	logSampler   logRateLimiter
+	// bufferedBytes counts the memory of the answers that are being buffered.
+	bufferedBytes atomic.Int64
+	logSampler    logRateLimiter
 }
 
 // Drain makes the handler reject new requests.
@@ -89,6 +91,8 @@
 	serverError *bufferedAnswer
 	stream      streamState
 	headerSent  bool // the response header was sent to the caller
+	// bufferedBytes is this request's part of the handler's bufferedBytes.
+	bufferedBytes int64
 }
 
 // ServeHTTP serves one request.
@@ -102,6 +106,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.timeoutAt)
 	defer cancel()
 	q.ctx = ctx
+	defer func() { h.bufferedBytes.Add(-q.bufferedBytes) }()
 	q.serve()
 }
 
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -3,7 +3,8 @@
 // and retries, validation of the server's response, and the answer to the caller.
 //
 // A caller gets status 408, 421, 429 or 503, which means that its request was not run, only if no byte of the request
-// can have reached a server, or if every server that it reached reported that it did not run it.
+// can have reached a server, or if every server that it reached reported that it did not run it. Such a report counts
+// only if it echoes the request's ID, or has none and is the only response on a connection that carried nothing else.
 package forward
 
 import (
@@ -66,10 +67,13 @@
 	Outgoing(h http.Header, s ServerHeaders) http.Header
 	// Answer parses the header of a server's response.
 	Answer(status int, h http.Header) ServerResponse
+	// Notice parses what a server says about itself in the header of any response.
+	Notice(status int, h http.Header) dispatch.Notice
 	// SetRequestID adds the request id to the header of the daemon's own answer.
 	SetRequestID(h http.Header, id string)
-	// Matches reports whether a response header belongs to the request with the given id.
-	Matches(h http.Header, id string) bool
+	// Matches reports whether a response header belongs to the request with the given id. sole is set if nothing else was
+	// sent or received on the connection.
+	Matches(h http.Header, id string, sole bool) bool
 }
 
 // Scheduler chooses servers and is notified of the results.
@@ -80,6 +84,9 @@
 	RecordFinish(id uint64)
 	RecordCancellation(id uint64)
 	RecordFailure(server string, f dispatch.Fault)
+	// RecordNotice records what a server said about itself. It returns false if the server must not receive further
+	// requests for now.
+	RecordNotice(server dispatch.Process, n dispatch.Notice) bool
 	// Unreachable reports whether a server could not be reached and has not responded since.
 	Unreachable(server string) bool
 }
