upstream, forward: bound bytes without end, and believe a refusal only if it can't be another request's

A refusal without an ID was accepted on a kept connection, where an earlier one may be written again. A refusal counts if it echoes the request's ID, or has none and is the only response on a connection that carried nothing else. Ruled out: a total bound of a stream, which the caller's deadline ends.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -14,8 +14,10 @@
 	"github.com/carobstile/carobstile/internal/upstream"
 )
 
-// maxEventBytes bounds one event of a stream; a longer one counts as a broken stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream; a longer one counts as an invalid response of the server.
+const maxEventBytes = 256 << 10
+
+var errEventTooLarge = errors.Mark(errors.Newf("event of the stream exceeds %d bytes", maxEventBytes), upstream.ErrInvalidResponse)
 
 // streamState is the progress of the stream to the caller.
 type streamState struct {
@@ -42,7 +44,7 @@
 	for {
 		event, err := readEvent(reader)
 		if err != nil {
-			return q.handleStreamEnd(detector, plan, id, resp, event)
+			return q.handleStreamEnd(detector, plan, id, resp, event, err)
 		}
 		detector.recordProgress()
 		if first {
@@ -77,7 +79,10 @@
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
+		if len(event) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
@@ -164,9 +169,10 @@
 
 func (q *request) flush() bool { return http.NewResponseController(q.w).Flush() == nil }
 
-// handleStreamEnd handles the end of a server's stream; rest is what follows the last complete event.
+// handleStreamEnd handles the end of a server's stream; rest is what follows the last complete event, and err is the
+// error of the last read.
 func (q *request) handleStreamEnd(
-	detector *stallDetector, plan dispatch.Plan, id uint64, resp *upstream.Response, rest []byte,
+	detector *stallDetector, plan dispatch.Plan, id uint64, resp *upstream.Response, rest []byte, err error,
 ) outcome {
 	if resp.Complete() && len(bytes.TrimSpace(rest)) == 0 {
 		q.h.Scheduler.RecordFinish(id)
@@ -185,6 +191,9 @@
 	if detector.stalled() {
 		return q.failStream(plan, id, dispatch.FaultStalled, "stream stalled")
 	}
+	if errors.Is(err, upstream.ErrInvalidResponse) {
+		return q.failStream(plan, id, dispatch.FaultBroken, err.Error())
+	}
 	q.h.CrashTracker.RecordCrash(q.fingerprint, plan.Lead.ID)
 	return q.failStream(plan, id, dispatch.FaultBroken, "stream broke off")
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -22,12 +23,21 @@
 	ErrUnknown = errors.New("outcome of the request unknown")
 )
 
+// ErrDeclined additionally marks errors of requests that were not sent because Observe returned false.
+var ErrDeclined = errors.New("server accepts no further requests")
+
+// ErrInvalidResponse additionally marks errors caused by bytes that are not a valid response or exceed its limits, as
+// opposed to a connection that was closed or timed out. Response.Read returns it too.
+var ErrInvalidResponse = errors.New("server sent an invalid response")
+
 const (
 	// writeBufferBytes holds a request's headers and a short body, so that they leave in one system call.
 	writeBufferBytes = 8 << 10
 	// maxSyncBodyBytes is the largest body that is written before the response is read. Longer bodies are written
 	// concurrently, because a server may respond early and stop reading the body.
 	maxSyncBodyBytes = 4 << 10
+	// maxHeadBytes bounds the status line and header of a response, together with the informational responses before it.
+	maxHeadBytes = 64 << 10
 	// maxForeignResponses bounds how many responses to other requests are skipped on one connection.
 	maxForeignResponses = 2
 	// maxForeignBodyBytes bounds the body of a skipped response.
@@ -47,8 +57,13 @@
 	// sets is not extended for the body.
 	HeaderTimeout time.Duration
 	// Matches reports whether a response header belongs to this request; nil accepts every response. A server may send a
-	// late response to an earlier request.
-	Matches func(http.Header) bool
+	// late response to an earlier request, or repeat one. sole is set if nothing else was sent or received on the
+	// connection, so that the response cannot belong to another request.
+	Matches func(h http.Header, sole bool) bool
+	// Observe, if set, is called with each response header read from the connection, including those of responses to
+	// other requests. It returns false if the server must not receive further requests; if this one has not been sent yet,
+	// Send then fails with ErrDeclined.
+	Observe func(status int, h http.Header) bool
 }
 
 // Response is the response of a backend server. The caller must call Close.
@@ -71,7 +86,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	c, err := p.get(ctx, t, r.NewConn)
+	c, err := p.get(ctx, t, r)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -92,7 +107,7 @@
 		}()
 	}
 	c.setReadTimeout(r.HeaderTimeout)
-	if err := resp.readHeader(out, r.Matches); err != nil {
+	if err := resp.readHeader(out, r); err != nil {
 		resp.abort()
 		return nil, errors.Mark(err, ErrUnknown)
 	}
@@ -153,36 +168,47 @@
 
 // readHeader reads response headers until one belongs to the request, and skips informational responses and a few
 // responses to other requests.
-func (r *Response) readHeader(out *http.Request, matches func(http.Header) bool) error {
+func (r *Response) readHeader(out *http.Request, req *Request) error {
 	for foreign := 0; ; {
-		raw, err := http.ReadResponse(r.conn.reader, out)
+		raw, err := r.conn.readHead(out)
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
-		if raw.StatusCode < http.StatusOK {
-			continue
+		if req.Observe != nil {
+			req.Observe(raw.StatusCode, raw.Header)
 		}
-		if matches == nil || matches(raw.Header) {
+		if req.Matches == nil || req.Matches(raw.Header, !r.conn.used && foreign == 0) {
 			r.raw, r.Status, r.Header = raw, raw.StatusCode, raw.Header
 			return nil
 		}
 		foreign++
 		if foreign > maxForeignResponses || raw.Close {
-			return errors.New("received a response to another request")
+			return errors.Mark(errors.New("received a response to another request"), ErrInvalidResponse)
 		}
 		if _, err := io.CopyN(io.Discard, raw.Body, maxForeignBodyBytes); !errors.Is(err, io.EOF) {
-			return errors.Newf("response to another request did not end within %d bytes", maxForeignBodyBytes)
+			err = errors.Newf("response to another request did not end within %d bytes", maxForeignBodyBytes)
+			return errors.Mark(err, ErrInvalidResponse)
 		}
 	}
 }
 
+// markInvalid marks a read error with ErrInvalidResponse unless the connection was closed or timed out.
+func markInvalid(err error) error {
+	var network net.Error
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		return err
+	}
+	return errors.Mark(err, ErrInvalidResponse)
+}
+
 // Read reads the response body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.raw.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		r.complete = true
+		return n, io.EOF
 	}
-	return n, err
+	return n, markInvalid(err)
 }
 
 // Complete reports whether the body was read to its end.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -63,17 +63,22 @@
 	return errors.CombineErrors(err, optErr)
 }
 
-// get returns a reusable idle connection, or a new one if there is none or newConnection is set.
-func (p *Pool) get(ctx context.Context, t Target, newConnection bool) (*conn, error) {
-	for !newConnection {
+// get returns a reusable idle connection, or a new one if there is none or the request needs one.
+func (p *Pool) get(ctx context.Context, t Target, r *Request) (*conn, error) {
+	for !r.NewConn {
 		c := p.takeIdle(t)
 		if c == nil {
 			break
 		}
-		if p.now().Before(c.idleUntil) && c.reusable() {
+		reusable, late := c.reusable()
+		if reusable && p.now().Before(c.idleUntil) {
 			return c, nil
 		}
+		proceed := c.observeLate(late, r.Observe)
 		c.close()
+		if !proceed {
+			return nil, errors.Mark(errors.Newf("server %s accepts no further requests", t.ID), ErrDeclined)
+		}
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
@@ -95,6 +100,7 @@
 }
 
 func (p *Pool) put(c *conn) {
+	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit, limited := p.idleLimits[c.target]
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -63,7 +63,7 @@
 func newRequest(method string) *Request {
 	return &Request{
 		Method: method, URI: "/p/x?q=%2f", Host: "h.example", Header: http.Header{}, Deadline: time.Now().Add(time.Second),
-		Matches: func(h http.Header) bool { return h.Get("X-Request-Id") == "mine" },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("X-Request-Id") == "mine" },
 	}
 }
 
