platform: decode each object of the store by itself

Cause: report of other operators. One entry of another writer that is nested deeper than the JSON decoder's limit made the whole page or watch fail, so that the daemon stopped following the list. Unreadable objects are logged once for each content. An object of a neighbour that can't be decoded no longer drops the others. Ruled out: jsontext and encoding/json, which both give up a text that is nested too deeply as a whole. Before: with such an entry TestOddEntriesAreSkipped times out. After: it passes with 17 kinds of odd entries among 200 sound ones, for running and starting daemons; FuzzStoreResponse, FuzzConfiguration and FuzzHeaders.

--- a/cmd/carobedge/main.go
+++ b/cmd/carobedge/main.go
@@ -13,7 +13,7 @@
 	var s edge.Settings
 	os.Exit(app.Main("carobedge", &s, func(env *app.Env) error {
 		return edge.Start(&s, env, edge.Adapter{
-			Store: platform.NewStoreClient(s.StoreAddress), Engines: platform.NewEngineClient(), Codec: platform.Codec{},
+			Store: platform.NewStoreClient(s.StoreAddress, env.Log), Engines: platform.NewEngineClient(), Codec: platform.Codec{},
 		})
 	}))
 }
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -97,6 +97,11 @@
 
 func (l *serverList) decode(image directory.Image) map[string]dispatch.Server {
 	out := make(map[string]dispatch.Server, len(image.Objects))
+	for name := range l.unreadable {
+		if _, ok := image.Objects[name]; !ok {
+			delete(l.unreadable, name)
+		}
+	}
 	for name, o := range image.Objects {
 		s, err := l.codec.Server(name, o.Value)
 		if err != nil {
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -48,15 +48,7 @@
 
 // applyDelta applies a change that a neighbour read from the store.
 func (d *Daemon) applyDelta(delta *carobstilev1.EdgeDelta) {
-	w := platform.Watch{Revision: delta.GetRevision()}
-	for _, data := range delta.GetObjects() {
-		var o platform.Object
-		if err := json.Unmarshal(data, &o); err != nil {
-			d.log.Warn("failed to decode change of a neighbour", "err", err)
-			return
-		}
-		w.Objects = append(w.Objects, o)
-	}
+	w := platform.Watch{Revision: delta.GetRevision(), Objects: d.decodeObjects(delta.GetObjects())}
 	if delta.GetKind() == KindServers {
 		d.serverEntries.ApplyChange(delta.GetFromDigest(), w)
 	}
