neighbors: cells follow failure domains, large packets are split, traffic is counted

Cause: at 195 hosts the cells of 65 daemons span all domains, and four fifths of their datagrams are billed. Datagrams over 60 KB with few jobs were dropped. Daemons of other cells send nothing and were forgotten after a minute, which changed the cells. Packets are halved until they fit; the list of a summary's running jobs stays whole. Daemons of other cells stay for ten minutes after they were last named. Bytes sent are counted by content and by domain (carobstile_neighbour_bytes_sent).

--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -23,6 +23,7 @@
 		leaving.Update(float64(leavingCount))
 		daemons.Update(float64(len(d.link.Live())))
 		open.Update(float64(d.handler.OpenRequests()))
+		d.publishTraffic()
 		for kind, f := range map[string]*directory.Follower{KindConfig: d.config, KindServers: d.serverEntries} {
 			kindScope := scope.Tagged(map[string]string{"kind": kind})
 			kindScope.Gauge("store_age_seconds").Update(f.StoreAge(time.Now()).Seconds())
@@ -31,6 +32,21 @@
 	})
 }
 
+// publishTraffic publishes the bytes sent to neighbours.
+func (d *Daemon) publishTraffic() {
+	t := d.link.Traffic()
+	for _, c := range []struct {
+		content, to string
+		bytes       int64
+	}{
+		{"summary", "own_domain", t.SummariesInDomain.Load()}, {"summary", "other_domain", t.SummariesToOthers.Load()},
+		{"update", "own_domain", t.UpdatesInDomain.Load()}, {"update", "other_domain", t.UpdatesToOthers.Load()},
+	} {
+		tags := map[string]string{"content": c.content, "to": c.to}
+		d.metrics.Scope.Tagged(tags).Gauge("neighbour_bytes_sent").Update(float64(c.bytes))
+	}
+}
+
 func (d *Daemon) countServers() (known, leaving int) {
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -10,9 +10,9 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -35,24 +35,15 @@
 	maxRelaxedDelay = 200 * time.Millisecond
 	// silenceTimeout is the time without a datagram after which a neighbour counts as away.
 	silenceTimeout = 2500 * time.Millisecond
-	// removalTimeout is the time without a datagram after which a neighbour is removed and no longer counts among the
-	// daemons that share budgets.
-	removalTimeout = 60 * time.Second
-	// A deployment is divided into cells of daemons that exchange hints, and of the backend servers that they use, so
-	// that the hints that a daemon receives and stores do not grow with the deployment. Cells have about
-	// targetCellDaemons daemons if each cell can have targetCellServers servers, ten times the number of engines that
-	// read one prompt. Otherwise cells have up to maxCellDaemons daemons. In a sweep with 100 daemons, hints in cells
-	// of 50 made up most of the bytes between failure domains.
-	maxCellDaemons    = 80
-	targetCellDaemons = 16
-	targetCellServers = 160
+	// removalTimeout is the time without a datagram after which a neighbour of this cell is removed and no longer counts
+	// among the daemons that share budgets. Daemons of other cells send no datagrams; they are removed if the store's list
+	// and other daemons have not named them for otherCellTimeout, which is longer than outages of the store.
+	removalTimeout   = 60 * time.Second
+	otherCellTimeout = 10 * time.Minute
 	// summariesPerAwayProbe is the number of summaries of which one also goes to neighbours that are away.
 	summariesPerAwayProbe = 4
-	// maxDatagramBytes is the largest size of a datagram; larger ones are not sent. Packets are split by their number
-	// of jobs.
+	// maxDatagramBytes is the largest size of a datagram. Larger packets are split.
 	maxDatagramBytes = 60_000
-	// maxDatagramJobs is the largest number of placed jobs in a datagram.
-	maxDatagramJobs = 64
 )
 
 // Handler handles datagrams and membership changes, and supplies the content of summaries.
@@ -71,6 +62,8 @@
 	member    *carobstilev1.EdgeMember
 	address   netip.AddrPort
 	lastHeard time.Time
+	// lastNamed is when the store's list, another daemon or the neighbour itself last gave its addresses.
+	lastNamed time.Time
 	away      bool
 	// neverHeard is set until the first datagram arrives; lastHeard is then when the daemon became known.
 	neverHeard bool
@@ -92,8 +85,12 @@
 	flushTimer    *time.Timer
 	flushAt       time.Time
 	summariesSent int
-	lastCellCount uint64 // number of cells at the last call of CellCountChanged
-	serverCount   int    // in the whole deployment
+	serverCount   int // in the whole deployment
+	layout        cellLayout
+	layoutChanged bool // since the last call of CellsChanged
+	traffic       Traffic
+	// write sends a datagram; replaced in tests.
+	write func(data []byte, to netip.AddrPort) (int, error)
 }
 
 // Listen opens the packet address of self.
@@ -108,7 +105,7 @@
 	}
 	return &Link{
 		name: self.GetName(), conn: conn, handler: handler, log: log, self: self, neighbors: map[string]*neighbor{},
-		pending: &carobstilev1.EdgePacket{},
+		pending: &carobstilev1.EdgePacket{}, layout: newCellLayout(nil, 0), write: conn.WriteToUDPAddrPort,
 	}, nil
 }
 
@@ -160,14 +157,22 @@
 	defer l.mu.Unlock()
 	n := l.neighbors[m.GetName()]
 	if n == nil {
-		l.neighbors[m.GetName()] = &neighbor{member: m, address: address, lastHeard: time.Now(), away: true, neverHeard: true}
-		if l.inCell(m.GetName()) {
-			go l.sendGreeting(address)
+		now := time.Now()
+		l.neighbors[m.GetName()] = &neighbor{
+			member: m, address: address, lastHeard: now, lastNamed: now, away: true, neverHeard: true,
+		}
+		l.updateLayout()
+		if l.inCell(m) {
+			go l.sendGreeting(recipient{address, m.GetFailureDomain() != l.self.GetFailureDomain()})
 		}
 		return false
 	}
 	restarted := n.member.GetBoot() != m.GetBoot()
-	n.member, n.address = m, address
+	moved := n.member.GetFailureDomain() != m.GetFailureDomain()
+	n.member, n.address, n.lastNamed = m, address, time.Now()
+	if moved {
+		l.updateLayout()
+	}
 	return restarted
 }
 
@@ -238,7 +243,7 @@
 	defer l.mu.Unlock()
 	out := []string{l.name}
 	for name, n := range l.neighbors {
-		if !n.away && l.inCell(name) {
+		if !n.away && l.inCell(n.member) {
 			out = append(out, name)
 		}
 	}
@@ -254,7 +259,7 @@
 	out := []string{l.name}
 	for name, n := range l.neighbors {
 		live := !n.away || n.neverHeard && time.Since(n.lastHeard) < silenceTimeout
-		if live && !n.storeFailing && l.inCell(name) {
+		if live && !n.storeFailing && l.inCell(n.member) {
 			out = append(out, name)
 		}
 	}
@@ -277,24 +282,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.neighbors[name]
-	if n == nil || !n.away || !l.inCell(name) {
+	if n == nil || !n.away || !l.inCell(n.member) {
 		return 0
 	}
 	return time.Since(n.lastHeard)
 }
 
-// cellCount returns the number of cells of the deployment. The caller holds mu.
-func (l *Link) cellCount() uint64 {
-	daemons := l.daemonCount()
-	target := min(daemons/targetCellDaemons, l.serverCount/targetCellServers)
-	return uint64(max(1, target, (daemons+maxCellDaemons-1)/maxCellDaemons))
+// updateLayout applies a change of the daemons or of the number of servers to the cells. The caller holds mu.
+func (l *Link) updateLayout() {
+	domains := []string{l.self.GetFailureDomain()}
+	for _, n := range l.neighbors {
+		domains = append(domains, n.member.GetFailureDomain())
+	}
+	layout := newCellLayout(domains, l.serverCount)
+	if layout.perDomain != l.layout.perDomain || !slices.Equal(layout.domains, l.layout.domains) {
+		l.layout, l.layoutChanged = layout, true
+	}
 }
 
 // CellCount returns the number of cells of the deployment.
 func (l *Link) CellCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return int(l.cellCount())
+	return l.layout.count()
 }
 
 // SetServerCount sets the number of backend servers in the deployment.
@@ -302,28 +312,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.serverCount = n
+	l.updateLayout()
 }
 
-// inCell reports whether a daemon or backend server belongs to the cell of this daemon. The caller holds mu.
-func (l *Link) inCell(name string) bool {
-	cells := l.cellCount()
-	return cells <= 1 || xxhash.Sum64String(name)%cells == xxhash.Sum64String(l.name)%cells
+// inCell reports whether a daemon belongs to the cell of this daemon. The caller holds mu.
+func (l *Link) inCell(m *carobstilev1.EdgeMember) bool {
+	return l.layout.of(m.GetName(), m.GetFailureDomain()) == l.ownCell()
 }
 
+func (l *Link) ownCell() cell { return l.layout.of(l.name, l.self.GetFailureDomain()) }
+
 // InCell reports whether a backend server belongs to the cell of this daemon.
-func (l *Link) InCell(server string) bool {
+func (l *Link) InCell(server, domain string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.inCell(server)
+	return l.layout.of(server, domain) == l.ownCell()
 }
 
-// CellCountChanged reports whether the number of cells has changed since the last call.
-func (l *Link) CellCountChanged() bool {
+// CellsChanged reports whether the division into cells has changed since the last call.
+func (l *Link) CellsChanged() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.lastCellCount
-	l.lastCellCount = l.cellCount()
-	return before != l.lastCellCount
+	changed := l.layoutChanged
+	l.layoutChanged = false
+	return changed
 }
 
 // Leave notifies the neighbours that this daemon is stopping.
@@ -380,13 +392,15 @@
 }
 
 // sendGreeting sends a summary with the full sender to a daemon that has just become known.
-func (l *Link) sendGreeting(address netip.AddrPort) {
+func (l *Link) sendGreeting(to recipient) {
 	p := &carobstilev1.EdgePacket{Summary: true}
 	l.handler.FillSummary(p)
 	l.mu.Lock()
 	p.Sender = l.self
 	l.mu.Unlock()
-	l.sendDatagram(p, []netip.AddrPort{address})
+	for _, part := range split(p, maxDatagramBytes) {
+		l.sendDatagram(part, []recipient{to})
+	}
 }
 
 // sendSummary sends everything that this daemon runs to the neighbours; one of summariesPerAwayProbe summaries also
@@ -412,8 +426,9 @@
 			n.away = true
 			silenced = append(silenced, n.member)
 		}
-		if n.away && silent > removalTimeout {
+		if n.away && l.gone(now, n) {
 			delete(l.neighbors, name)
+			l.updateLayout()
 		}
 	}
 	l.mu.Unlock()
@@ -422,25 +437,29 @@
 	}
 }
 
-// send sends a packet to the neighbours in this cell, in several datagrams if it holds many jobs. all includes
-// neighbours that are away.
+// gone reports whether a neighbour is to be removed. The caller holds mu.
+func (l *Link) gone(now time.Time, n *neighbor) bool {
+	if l.inCell(n.member) {
+		return now.Sub(n.lastHeard) > removalTimeout
+	}
+	return now.Sub(n.lastNamed) > otherCellTimeout
+}
+
+// send sends a packet to the neighbours in this cell, in several datagrams if it is large. all includes neighbours that
+// are away.
 func (l *Link) send(p *carobstilev1.EdgePacket, all bool) {
 	l.mu.Lock()
 	p.Sender = l.senderField(all)
-	var to []netip.AddrPort
-	for name, n := range l.neighbors {
-		if (all || !n.away) && l.inCell(name) {
-			to = append(to, n.address)
+	var to []recipient
+	for _, n := range l.neighbors {
+		if (all || !n.away) && l.inCell(n.member) {
+			to = append(to, recipient{n.address, n.member.GetFailureDomain() != l.self.GetFailureDomain()})
 		}
 	}
 	l.mu.Unlock()
-	placed := p.GetPlaced()
-	for len(placed) > maxDatagramJobs {
-		l.sendDatagram(&carobstilev1.EdgePacket{Sender: p.GetSender(), Placed: placed[:maxDatagramJobs]}, to)
-		placed = placed[maxDatagramJobs:]
+	for _, part := range split(p, maxDatagramBytes) {
+		l.sendDatagram(part, to)
 	}
-	p.Placed = placed
-	l.sendDatagram(p, to)
 }
 
 // senderField returns the sender of a datagram, in full or in short form. Only greetings and summaries to all
@@ -453,15 +472,44 @@
 	return &carobstilev1.EdgeMember{Name: l.name, Boot: l.self.GetBoot(), Leaving: l.self.GetLeaving()}
 }
 
-func (l *Link) sendDatagram(p *carobstilev1.EdgePacket, to []netip.AddrPort) {
+// recipient is a daemon that a datagram is sent to.
+type recipient struct {
+	address     netip.AddrPort
+	otherDomain bool
+}
+
+func (l *Link) sendDatagram(p *carobstilev1.EdgePacket, to []recipient) {
 	data, err := proto.Marshal(p)
 	if err != nil || len(data) > maxDatagramBytes {
 		l.log.Warn("datagram too large or not encodable", "err", err, "bytes", len(data))
 		return
 	}
-	for _, address := range to {
-		if _, err := l.conn.WriteToUDPAddrPort(data, address); err != nil {
-			l.log.Debug("failed to send datagram", "to", address, "err", err)
+	for _, r := range to {
+		if _, err := l.write(data, r.address); err != nil {
+			l.log.Debug("failed to send datagram", "to", r.address, "err", err)
+			continue
 		}
+		l.traffic.count(p.GetSummary(), r.otherDomain, len(data))
+	}
+}
+
+// Traffic holds the bytes sent to neighbours, by content and by whether they are in another failure domain.
+type Traffic struct {
+	SummariesInDomain, SummariesToOthers, UpdatesInDomain, UpdatesToOthers atomic.Int64
+}
+
+func (t *Traffic) count(summary, otherDomain bool, bytes int) {
+	counter := &t.UpdatesInDomain
+	switch {
+	case summary && otherDomain:
+		counter = &t.SummariesToOthers
+	case summary:
+		counter = &t.SummariesInDomain
+	case otherDomain:
+		counter = &t.UpdatesToOthers
 	}
+	counter.Add(int64(bytes))
 }
+
+// Traffic returns the counters of the bytes sent.
+func (l *Link) Traffic() *Traffic { return &l.traffic }
--- /dev/null
+++ b/internal/neighbors/split.go
@@ -0,0 +1,40 @@
+package neighbors
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+)
+
+// split divides a packet into packets of at most limit bytes. The list of running jobs of a summary stays in one packet,
+// since receivers end all jobs that it does not contain. A packet that cannot be divided further is returned as it is.
+func split(p *carobstilev1.EdgePacket, limit int) []*carobstilev1.EdgePacket {
+	if proto.Size(p) <= limit {
+		return []*carobstilev1.EdgePacket{p}
+	}
+	first := &carobstilev1.EdgePacket{
+		Sender: p.GetSender(), ConfigVersion: p.GetConfigVersion(), ServersRevision: p.GetServersRevision(),
+		ServersDigest: p.GetServersDigest(), StoreFailing: p.GetStoreFailing(), Summary: p.GetSummary(), Active: p.GetActive(),
+	}
+	rest := &carobstilev1.EdgePacket{Sender: p.GetSender()}
+	divided := false
+	first.Placed, rest.Placed = halve(p.GetPlaced(), &divided)
+	first.First, rest.First = halve(p.GetFirst(), &divided)
+	first.Ended, rest.Ended = halve(p.GetEnded(), &divided)
+	first.Faults, rest.Faults = halve(p.GetFaults(), &divided)
+	first.Crashes, rest.Crashes = halve(p.GetCrashes(), &divided)
+	first.Reports, rest.Reports = halve(p.GetReports(), &divided)
+	first.Deltas, rest.Deltas = halve(p.GetDeltas(), &divided)
+	first.Leaving, rest.Leaving = halve(p.GetLeaving(), &divided)
+	if !divided {
+		return []*carobstilev1.EdgePacket{p}
+	}
+	return append(split(first, limit), split(rest, limit)...)
+}
+
+// halve divides a list in the middle and sets divided if it is not empty. A list of one element goes to the second half,
+// whose fixed fields are smaller.
+func halve[T any](list []T, divided *bool) (first, rest []T) {
+	*divided = *divided || len(list) > 0
+	return list[:len(list)/2], list[len(list)/2:]
+}
--- /dev/null
+++ b/internal/neighbors/split_test.go
@@ -0,0 +1,40 @@
+package neighbors
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+)
+
+// Guards against datagrams over the limit, which are dropped as a whole, and against content that is lost or repeated when
+// a packet is divided.
+func TestLargePacketsAreSplit(t *testing.T) {
+	const count, limit = 900, 4000
+	p := &carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: "d"}, Summary: true, Active: []uint64{1, 2, 3}}
+	for i := range count {
+		p.Crashes = append(p.Crashes, &carobstilev1.EdgeCrash{Fingerprint: make([]byte, 16), Server: "s"})
+		p.Ended = append(p.Ended, uint64(i))
+		p.Placed = append(p.Placed, &carobstilev1.EdgeJob{Id: uint64(i), Service: "engines"})
+	}
+	parts := split(p, limit)
+	merged := &carobstilev1.EdgePacket{}
+	summaries := 0
+	for _, part := range parts {
+		require.LessOrEqual(t, proto.Size(part), limit)
+		require.Equal(t, "d", part.GetSender().GetName())
+		if part.GetSummary() {
+			summaries++
+			require.Len(t, part.GetActive(), 3)
+		}
+		proto.Merge(merged, part)
+	}
+	require.Equal(t, 1, summaries)
+	require.Len(t, merged.GetCrashes(), count)
+	require.Len(t, merged.GetEnded(), count)
+	require.Len(t, merged.GetPlaced(), count)
+	require.Len(t, split(&carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: string(make([]byte, limit+1))}}, limit), 1,
+		"a packet without lists cannot be divided")
+}
