--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -65,6 +65,15 @@
 Example: carobctl timeline --request 3f2a logs/gate-*.log`,
 			&timelineCommand{cli: c},
 		},
+		{
+			"losses", "Sum up why requests were not served in full", `Reads event logs of any number of daemons that forward requests
+(carobedge) and sums up the requests that were refused, failed or late, by
+route and reason. The weight estimates the benefit lost from the length of the
+prompts; a late request counts as three quarters.
+
+Example: carobctl losses logs/edge-*.log`,
+			&lossesCommand{cli: c},
+		},
 		{
 			"keygen", "Generate keys and certificates for development", `Generates a development certificate authority, one
 certificate per host, a cluster key and a cursor key under --out. Files are
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,6 +18,7 @@
 	pb "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/config"
 	"github.com/carobstile/carobstile/internal/confstore"
+	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/platform"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -131,6 +132,21 @@
 	require.NoError(t, os.WriteFile("pool.log", []byte(
 		"level=INFO msg=\"grant made\" process=gate-2 request=r1 engine=e1 hlc=2000000.4\n"+
 			"level=INFO msg=\"grant made\" process=gate-2 request=r2 engine=e2 hlc=2000001.0\n"), 0o600))
+	writeEdgeLog(t)
+}
+
+// writeEdgeLog writes a log of requests that fell short in several ways.
+func writeEdgeLog(t *testing.T) {
+	t.Helper()
+	lines := ""
+	for i, fields := range []string{
+		`route=long prompt_tokens=400000 status=503 shortfall=refused`, `route=long prompt_tokens=250000 status=503 shortfall=refused`,
+		`route=long prompt_tokens=200000 status=200 shortfall=waited`, `route=short prompt_tokens=4000 status=200 shortfall=paused`,
+		`route=short prompt_tokens=4000 status=200 shortfall=""`, `route=desk prompt_tokens=0 status=502 shortfall=server_failed`,
+	} {
+		lines += fmt.Sprintf("level=INFO msg=%q process=edge-1 request=r%d %s hlc=%d.0\n", evlog.MessageEnded, i, fields, 1000+i)
+	}
+	require.NoError(t, os.WriteFile("edge.log", []byte(lines), 0o600))
 }
 
 var acceptedTime = regexp.MustCompile(`accepted \S+Z`)
@@ -240,6 +256,18 @@
 	_, stderr, code = f.run("keygen", "--out", dir, "--host", "g1=127.0.0.1")
 	require.Equal(t, ExitFailed, code)
 	require.Contains(t, stderr, "not overwritten")
+	_, stderr, code = f.run("keygen", "--out", filepath.Join(dir, "new"), "--host", "g1=127.0.0.1", "--host", "g1=127.0.0.2")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, stderr, "named twice")
+}
+
+// Guards against a document on standard input that is cut at the limit and then used.
+func TestReadLimited(t *testing.T) {
+	data, err := readLimited(strings.NewReader("12345"), 5)
+	require.NoError(t, err)
+	require.Equal(t, "12345", string(data))
+	_, err = readLimited(strings.NewReader("123456"), 5)
+	require.ErrorContains(t, err, "exceeds 5 bytes")
 }
 
 // Guards against key files that other users of the host can read, and against files without valid credentials or with
--- a/internal/ctl/tools.go
+++ b/internal/ctl/tools.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,15 +41,11 @@
 	if t.All == (query != timeline.Query{}) {
 		return withExitCode(ExitUsage, errors.New("set either --all or at least one of --request and --object"))
 	}
-	var sources []timeline.Source
-	for _, name := range t.Args.Files {
-		file, err := os.Open(string(name))
-		if err != nil {
-			return errors.Wrap(err, "open an event log")
-		}
-		defer file.Close()
-		sources = append(sources, timeline.Source{Name: string(name), Reader: file})
+	sources, closeAll, err := openLogs(t.Args.Files)
+	if err != nil {
+		return err
 	}
+	defer closeAll()
 	var cause timeline.Explanation
 	stats, err := timeline.Merge(sources, query, func(e timeline.Event) error {
 		cause.Add(e)
@@ -57,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	t.printStats(stats)
+	t.cli.printLogStats(stats)
 	if t.Request != "" && !t.cli.json() {
 		fmt.Fprintf(t.cli.env.Stdout, "cause: %s\n", cause.String())
 	}
@@ -88,8 +85,29 @@
 	return value
 }
 
-func (t *timelineCommand) printStats(stats timeline.Stats) {
-	w := t.cli.env.Stderr
+// openLogs opens event logs. The returned function closes them.
+func openLogs(names []flags.Filename) ([]timeline.Source, func(), error) {
+	var sources []timeline.Source
+	var files []*os.File
+	closeAll := func() {
+		for _, f := range files {
+			_ = f.Close() // opened for reading only
+		}
+	}
+	for _, name := range names {
+		file, err := os.Open(string(name))
+		if err != nil {
+			closeAll()
+			return nil, nil, errors.Wrap(err, "open an event log")
+		}
+		files = append(files, file)
+		sources = append(sources, timeline.Source{Name: string(name), Reader: file})
+	}
+	return sources, closeAll, nil
+}
+
+func (c *cli) printLogStats(stats timeline.Stats) {
+	w := c.env.Stderr
 	fmt.Fprintf(w, "%d of %d lines shown, %d broken, %d out of order\n", stats.Matched, stats.Lines, stats.Broken, stats.OutOfOrder)
 	for _, p := range stats.Problems {
 		fmt.Fprintf(w, "%s:%d: %s\n", p.Source, p.Line, p.Message)
@@ -129,6 +147,9 @@
 		if err != nil {
 			return withExitCode(ExitUsage, err)
 		}
+		if slices.ContainsFunc(request.Hosts, func(h KeygenHost) bool { return h.Name == host.Name }) {
+			return withExitCode(ExitUsage, errors.Newf("host %q is named twice", host.Name))
+		}
 		request.Hosts = append(request.Hosts, host)
 	}
 	if entries, err := os.ReadDir(request.Dir); err == nil && len(entries) > 0 {
--- a/internal/forward/request_log.go
+++ b/internal/forward/request_log.go
@@ -39,7 +39,7 @@
 			"config", version)
 	}
 	q.h.Log.Info(evlog.MessageEnded, evlog.KeyRequest, q.ID, "route", q.routeName(), "service", q.service,
-		"prompt_tokens", q.PromptTokens, "status", status, "reason", q.reason, "server", q.lastServer, "sends", q.sendCount,
+		"prompt_tokens", q.PromptTokens, "status", status, "shortfall", q.shortfall(status), "reason", q.reason, "server", q.lastServer, "sends", q.sendCount,
 		"first_ms", q.firstEventMillis(), "longest_gap_ms", millis(q.stream.longestGap),
 		"limit_ms", millis(max(0, q.deadline-q.arrived)), "ms", millis(elapsed), "config", version)
 }
