simulate: play a load of prompts on the reducer, without a network

Change: several dispatch cores that hear of each other's choices late, engines that follow the cost model, callers that return.

--- /dev/null
+++ b/internal/simulate/simulate.go
@@ -0,0 +1,326 @@
+// Package simulate plays a load of prompts on dispatch.Core without a network: several daemons that hear of each other's
+// choices a few milliseconds late, and engines that follow the published cost model. It shows what callers get from a
+// policy, by kind and size of request, and repeats exactly for a seed.
+package simulate
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/enginecost"
+)
+
+// service is the name of the simulated service.
+const service = "engines"
+
+// Kind is a kind of request.
+type Kind struct {
+	Name      string
+	PerSecond float64
+	// Prompt is the mean length in tokens, PromptSpread its standard deviation relative to the mean, PromptMax its limit.
+	Prompt, PromptSpread, PromptMax float64
+	// Events is the mean number of events of an answer.
+	Events                                    float64
+	FirstTarget, MaxPause, Patience, Deadline core.Micros
+	// Benefit is the mean benefit of an answer on time, LateBenefit that of a late one. Within the kind, the benefit grows
+	// with the length of the prompt.
+	Benefit, LateBenefit float64
+	// Retries is how often a caller returns after a refusal.
+	Retries int
+}
+
+// Burst multiplies the rate of a kind for some time.
+type Burst struct {
+	Kind     string
+	From, To core.Micros
+	Factor   float64
+}
+
+// Scenario is a load and the deployment that serves it.
+type Scenario struct {
+	Engines, Daemons int
+	Model            enginecost.Model
+	Kinds            []Kind
+	Bursts           []Burst
+	Length           core.Micros
+	// HintDelay is the time after which a daemon hears of a choice of another one.
+	HintDelay core.Micros
+	Seed      uint64
+}
+
+// outcome is how a request ended.
+type outcome int
+
+const (
+	refused outcome = iota
+	onTime
+	late
+	abandoned
+)
+
+// request is one request of a caller, over all of its attempts.
+type request struct {
+	kind          *Kind
+	prompt        int
+	events        int
+	benefit       float64
+	started       core.Micros
+	attempts      int
+	id            uint64 // of the current attempt
+	daemon        int
+	parts         int // parts of the prompt that are still to be read
+	lead          *engine
+	memory        int
+	firstAt       core.Micros
+	lastEventAt   core.Micros
+	longestGap    core.Micros
+	eventsLeft    int
+	outcome       outcome
+	refusedBefore bool
+}
+
+type simulation struct {
+	Scenario
+	// load draws the requests, choices the daemons that they reach, so that the load does not depend on the policy.
+	load, choices *rand.Rand
+	now           core.Micros
+	queue         eventQueue
+	sequence      uint64
+	daemons       []*dispatch.Core
+	engines       map[string]*engine
+	requests      []*request
+	running       map[uint64]*request
+	nextID        uint64
+}
+
+// Run plays a scenario.
+func Run(s Scenario) Result {
+	sim := &simulation{
+		Scenario: s, load: rand.New(rand.NewPCG(s.Seed, 0)), choices: rand.New(rand.NewPCG(s.Seed, 1)),
+		engines: map[string]*engine{}, running: map[uint64]*request{},
+	}
+	sim.deploy()
+	for i := range sim.Kinds {
+		sim.scheduleArrival(&sim.Kinds[i])
+	}
+	for sim.queue.Len() > 0 {
+		ev := heap.Pop(&sim.queue).(event)
+		sim.now = ev.at
+		ev.run()
+	}
+	return newResult(sim.Kinds, sim.requests)
+}
+
+func (s *simulation) deploy() {
+	model := s.Model
+	changed := dispatch.ServersChanged{Services: []dispatch.Service{{Name: service, Model: &model}}}
+	for i := range s.Engines {
+		id := fmt.Sprintf("e%03d", i)
+		s.engines[id] = &engine{sim: s, id: id, free: model.KVTokens}
+		changed.Servers = append(changed.Servers, dispatch.Server{
+			ID: id, Service: service, Address: id + ":1", Domain: "z", Slots: model.Slots,
+		})
+	}
+	for range s.Daemons {
+		c := dispatch.New("z")
+		c.Step(changed)
+		c.Step(dispatch.DaemonCountChanged{Count: s.Daemons})
+		s.daemons = append(s.daemons, c)
+	}
+}
+
+// at schedules a call.
+func (s *simulation) at(when core.Micros, run func()) {
+	s.sequence++
+	heap.Push(&s.queue, event{at: when, sequence: s.sequence, run: run})
+}
+
+func (s *simulation) rate(k *Kind) float64 {
+	rate := k.PerSecond
+	for _, b := range s.Bursts {
+		if b.Kind == k.Name && s.now >= b.From && s.now < b.To {
+			rate *= b.Factor
+		}
+	}
+	return rate
+}
+
+// maxRateFactor bounds the factors of bursts; arrivals are drawn at this rate and thinned.
+const maxRateFactor = 4
+
+func (s *simulation) scheduleArrival(k *Kind) {
+	gap := s.load.ExpFloat64() / (k.PerSecond * maxRateFactor)
+	when := s.now + core.Micros(gap*float64(core.Second))
+	if when >= s.Length {
+		return
+	}
+	s.at(when, func() {
+		if s.load.Float64() < s.rate(k)/(k.PerSecond*maxRateFactor) {
+			s.arrive(s.newRequest(k))
+		}
+		s.scheduleArrival(k)
+	})
+}
+
+// logNormal draws a positive number with the given mean and relative standard deviation.
+func (s *simulation) logNormal(mean, spread float64) float64 {
+	variance := math.Log(1 + spread*spread)
+	return mean * math.Exp(s.load.NormFloat64()*math.Sqrt(variance)-variance/2)
+}
+
+func (s *simulation) newRequest(k *Kind) *request {
+	const eventSpread = 0.7
+	const minSizeShare, maxSizeFactor = 0.3, 4 // share of the benefit that does not depend on the size, largest benefit
+	prompt := min(s.logNormal(k.Prompt, k.PromptSpread), k.PromptMax)
+	r := &request{
+		kind: k, prompt: int(prompt), events: max(1, int(s.logNormal(k.Events, eventSpread))), started: s.now,
+		benefit: min(maxSizeFactor, minSizeShare+(1-minSizeShare)*prompt/k.Prompt),
+	}
+	s.requests = append(s.requests, r)
+	return r
+}
+
+func (s *simulation) arrive(r *request) {
+	s.nextID++
+	r.id, r.daemon = s.nextID, s.choices.IntN(len(s.daemons))
+	r.attempts++
+	s.running[r.id] = r
+	w := dispatch.Work{
+		ID: r.id, Service: service, Prompt: r.prompt, Answer: r.events * s.Model.Stride, Arrived: s.now,
+		FirstEventDue: s.now + r.kind.FirstTarget, AbandonAt: s.now + r.kind.Patience, MaxPause: r.kind.MaxPause, Rank: 1,
+		Deadline: r.started + r.kind.Deadline,
+	}
+	id := r.id
+	s.at(min(w.AbandonAt, w.Deadline), func() {
+		if r.id == id && r.firstAt == 0 && s.running[id] == r {
+			r.outcome = abandoned
+			s.end(r, dispatch.Cancelled{Now: s.now, ID: id})
+		}
+	})
+	s.step(r.daemon, dispatch.Arrived{Now: s.now, Work: w})
+}
+
+// step passes an event to a daemon and performs the effects.
+func (s *simulation) step(daemon int, ev dispatch.Event) {
+	for _, effect := range s.daemons[daemon].Step(ev) {
+		switch e := effect.(type) {
+		case dispatch.Assign:
+			s.start(e)
+		case dispatch.Refuse:
+			s.refuse(e)
+		case dispatch.SetTimer:
+			s.at(e.At, func() { s.step(daemon, dispatch.Tick{Now: s.now}) })
+		case dispatch.Announce:
+			s.tellOthers(daemon, func() dispatch.Event {
+				return dispatch.PeerPlaced{Now: s.now, Peer: fmt.Sprint(daemon), Job: e.Job}
+			})
+		case dispatch.AnnounceFirst:
+			s.tellOthers(daemon, func() dispatch.Event { return dispatch.PeerFirst{Now: s.now, ID: e.ID} })
+		case dispatch.AnnounceEnd:
+			s.tellOthers(daemon, func() dispatch.Event { return dispatch.PeerEnded{Now: s.now, ID: e.ID} })
+		}
+	}
+}
+
+func (s *simulation) tellOthers(from int, ev func() dispatch.Event) {
+	s.at(s.now+s.HintDelay, func() {
+		for i := range s.daemons {
+			if i != from {
+				s.step(i, ev())
+			}
+		}
+	})
+}
+
+func (s *simulation) start(a dispatch.Assign) {
+	r := s.running[a.ID]
+	r.lead = s.engines[a.Plan.Lead.ID]
+	r.parts = 1 + len(a.Plan.Helpers)
+	r.memory = r.prompt + r.events*s.Model.Stride
+	for _, held := range a.Plan.Reservations {
+		r.memory -= held.Tokens
+	}
+	part := s.Model.PrefillMs(r.prompt) / float64(r.parts)
+	for _, h := range a.Plan.Helpers {
+		s.engines[h.ID].read(r, part)
+	}
+	r.lead.admit(r, part)
+}
+
+func (s *simulation) refuse(e dispatch.Refuse) {
+	r := s.running[e.ID]
+	delete(s.running, e.ID)
+	left := r.started + r.kind.Deadline - s.now
+	const maxReturnShare = 3 // callers return after at most a third of the time that they have left
+	if r.attempts > r.kind.Retries || e.RetryAfter > left/maxReturnShare {
+		return
+	}
+	r.refusedBefore = true
+	s.at(s.now+e.RetryAfter, func() { s.arrive(r) })
+}
+
+// end ends the current attempt of a request.
+func (s *simulation) end(r *request, ev dispatch.Event) {
+	delete(s.running, r.id)
+	if r.lead != nil {
+		r.lead.remove(r)
+	}
+	s.step(r.daemon, ev)
+}
+
+func (s *simulation) firstEvent(r *request) {
+	r.firstAt, r.lastEventAt, r.eventsLeft = s.now, s.now, r.events
+	s.step(r.daemon, dispatch.FirstEvent{Now: s.now, ID: r.id})
+}
+
+// emit counts one event of a request and ends it after the last one.
+func (s *simulation) emit(r *request) {
+	r.longestGap = max(r.longestGap, s.now-r.lastEventAt)
+	r.lastEventAt = s.now
+	r.eventsLeft--
+	if r.eventsLeft > 0 {
+		return
+	}
+	r.outcome = late
+	if r.firstAt-r.started <= r.kind.FirstTarget && r.longestGap <= r.kind.MaxPause {
+		r.outcome = onTime
+	}
+	s.end(r, dispatch.Finished{Now: s.now, ID: r.id})
+}
+
+// event is a call at a time of the simulation.
+type event struct {
+	at       core.Micros
+	sequence uint64
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
+}
+
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+var _ heap.Interface = (*eventQueue)(nil)
+
+// without returns a list without one element.
+func without[T comparable](list []T, x T) []T {
+	return slices.DeleteFunc(list, func(y T) bool { return x == y })
+}
--- /dev/null
+++ b/internal/simulate/simulate_test.go
@@ -0,0 +1,74 @@
+package simulate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/enginecost"
+)
+
+// classroom returns the load and the engines of one of five failure domains of a large deployment: prompts that mostly
+// need a part of an engine, and some that need several. Short and long prompts come in turns.
+func classroom(seed uint64) Scenario {
+	const ms, s = core.Millisecond, core.Second
+	return Scenario{
+		Engines: 35, Daemons: 8, HintDelay: 3 * ms, Length: 30 * s, Seed: seed,
+		Model: enginecost.Model{
+			Slots: 10, KVTokens: 315_000, Stride: 80, StepMs: 0.85, PerSequenceMs: 0.00425, ContextMsPerK: 0.00285,
+			PrefillTokensPerMs: 177, AttentionMsPerMPairs: 0.184,
+		},
+		Kinds: []Kind{
+			{
+				Name: "short", PerSecond: 47, Prompt: 4_960, PromptSpread: 0.9, PromptMax: 23_800, Events: 24, FirstTarget: 400 * ms,
+				MaxPause: 300 * ms, Patience: 2400 * ms, Deadline: 10 * s, Benefit: 1.3, LateBenefit: 0.33, Retries: 1,
+			},
+			{
+				Name: "medium", PerSecond: 3.5, Prompt: 45_000, PromptSpread: 0.5, PromptMax: 110_000, Events: 14, FirstTarget: 1500 * ms,
+				MaxPause: 800 * ms, Patience: 6400 * ms, Deadline: 10 * s, Benefit: 3.1, LateBenefit: 0.78, Retries: 1,
+			},
+			{
+				Name: "long", PerSecond: 1.15, Prompt: 220_000, PromptSpread: 0.55, PromptMax: 700_000, Events: 12, FirstTarget: 4 * s,
+				MaxPause: 1200 * ms, Patience: 15 * s, Deadline: 15 * s, Benefit: 26, LateBenefit: 6.5, Retries: 1,
+			},
+		},
+		Bursts: []Burst{
+			{"short", 0, 10 * s, 0.31}, {"medium", 0, 10 * s, 1.3}, {"long", 0, 10 * s, 2.9},
+			{"short", 10 * s, 20 * s, 2.5}, {"medium", 10 * s, 20 * s, 0.5}, {"long", 10 * s, 20 * s, 0.05},
+			{"short", 20 * s, 30 * s, 0.31}, {"medium", 20 * s, 30 * s, 1.3}, {"long", 20 * s, 30 * s, 2.9},
+		},
+	}
+}
+
+// Guards against a simulation that differs between runs, so that policies could not be compared.
+func TestRunRepeats(t *testing.T) {
+	s := classroom(3)
+	s.Length = 3 * core.Second
+	require.Equal(t, Run(s), Run(s))
+}
+
+// Guards against a simulation in which requests are lost, or are served although there is no engine.
+func TestOutcomes(t *testing.T) {
+	s := classroom(4)
+	s.Length = 3 * core.Second
+	for _, k := range Run(s).Kinds {
+		require.Equal(t, k.Count, k.OnTime+k.Late+k.Abandoned+k.NotServed, k.Name)
+	}
+	s.Engines = 0
+	require.Zero(t, Run(s).Earned)
+}
+
+// Guards against the largest prompts, which need the memory of several engines and most of their time, being refused while
+// smaller ones of their kind are served.
+func TestLargestPromptsAreNotStarved(t *testing.T) {
+	const leastShare = 0.7 // of how often the whole kind is served
+	for _, seed := range []uint64{1, 2, 3} {
+		r := Run(classroom(seed))
+		t.Logf("seed %d: %s", seed, r)
+		for i, k := range r.Kinds {
+			require.GreaterOrEqual(t, r.Largest[i].Served(), leastShare*k.Served(), "seed %d, %s", seed, r.Largest[i].Name)
+			require.GreaterOrEqual(t, r.Large[i].Served(), leastShare*k.Served(), "seed %d, %s", seed, r.Large[i].Name)
+		}
+	}
+}
