dispatch: let the limit of the longest prompts grow while they wait

Cause: the benefit of a prompt over 160,000 tokens grows linearly and its time of engines with the square of its length, so that under load every option for the longest ones costs others more than they earn: they were refused while smaller ones of their kind ran. Change: for them the accepted loss grows while they wait, from the benefit to what the same time of the engines earns with a prompt of 160,000 tokens, at most twice the benefit; they are refused after 0.4 instead of 0.25 of the caller's patience.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,8 +18,9 @@
 	initialLossTolerance = 0.02
 	lossToleranceGrowth  = 0.3
 	// refuseAfterShare is the share of the caller's expected patience after which a request without a server is
-	// refused.
-	refuseAfterShare = 0.25
+	// refused. Prompts over longTokens wait longer, since they need many engines at once.
+	refuseAfterShare     = 0.25
+	longRefuseAfterShare = 0.4
 	// retryAfter is the delay after which a refused caller should retry; a burst of long prompts drains in about a
 	// second.
 	retryAfter = core.Second
@@ -318,10 +319,13 @@
 	}
 	o := c.bestOption(now, w, svc)
 	reason := "all servers of the service are full or away"
-	if o != nil && svc.Model != nil && o.loss >= estimateBenefit(w.Prompt, w.Answer) {
-		reason = fmt.Sprintf("other requests would lose more than this one can earn: %.1f of %.1f, %d engines, first event in %.0f ms",
-			o.loss, estimateBenefit(w.Prompt, w.Answer), 1+len(o.helpers), o.firstMs)
-		o = nil
+	if o != nil && svc.Model != nil {
+		if limit := admissionLimit(now, svc.Model, w); o.loss >= limit {
+			reason = fmt.Sprintf(
+				"other requests would lose more than this one can earn: %.1f of %.1f, %d engines, first event in %.0f ms",
+				o.loss, limit, 1+len(o.helpers), o.firstMs)
+			o = nil
+		}
 	}
 	if o != nil && (svc.Model == nil || !c.shouldWait(now, w, o)) {
 		c.assign(now, w, o)
@@ -331,14 +335,22 @@
 		c.emit(Refuse{ID: w.ID, RetryAfter: resume - now, Reason: "all servers of the service asked for a pause"})
 		return true
 	}
-	patience := min(w.AbandonAt, w.Deadline) - w.Arrived
-	if o == nil && now-w.Arrived > core.Micros(float64(patience)*refuseAfterShare) {
+	if o == nil && now-w.Arrived > w.longestWait() {
 		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
 		return true
 	}
 	return false
 }
 
+// longestWait returns how long after its arrival a request without a server is refused.
+func (w *Work) longestWait() core.Micros {
+	share := refuseAfterShare
+	if w.Prompt > longTokens {
+		share = longRefuseAfterShare
+	}
+	return core.Micros(float64(min(w.AbandonAt, w.Deadline)-w.Arrived) * share)
+}
+
 func (c *Core) bestOption(now core.Micros, w *Work, svc *service) *option {
 	list := c.candidates(now, w, svc)
 	if len(list) == 0 {
