Call a failing store seldom, and watch it from fewer daemons in large deployments

Change: three daemons of a cell (four where there is one cell) probe a failing store as before; the others, which hear of changes and of the store's return from them, every 2 s. In deployments of several cells three daemons watch, with waits of 1.8 s. Ruled out: no calls at all by the others, since a daemon whose neighbours are cut off has the store only.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -21,6 +21,8 @@
 	// changes until it is renewed. Daemons forward changes to each other, so it suffices that the designated watchers
 	// renew theirs often. The platform charges for each watch.
 	shortWatchWait = 1200 * time.Millisecond
+	// largeWatchWait replaces it in deployments of several cells, each of which has watchers of its own.
+	largeWatchWait = 1800 * time.Millisecond
 	// longWatchWait is the wait of all other followers. With jitter it stays below the 20 s of history that the store
 	// keeps; a watch that ends later finds its revision dropped and the kind has to be listed again.
 	longWatchWait = 14 * time.Second
@@ -30,10 +32,12 @@
 	roleCheckInterval = 200 * time.Millisecond
 	// recoveryPeriod is how long after an outage of the store entries of live processes may still be missing.
 	recoveryPeriod = 2500 * time.Millisecond
-	// Failed calls are retried after minBackoff, doubled up to maxBackoff. A configuration has to take effect within
-	// two seconds after the store accepted it, but calls beyond the store's rate limit are refused.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	// Failed calls are retried after minBackoff, doubled up to maxBackoff by the daemons that look out for the end of an
+	// outage, and up to maxOtherBackoff by all others, which hear of it from them. A configuration has to take effect
+	// within two seconds after the store accepted it, but each call is charged, also while the store fails.
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 800 * time.Millisecond
+	maxOtherBackoff = 2 * time.Second
 	// batchDelay is the pause after a watch that returned changes, so that changes made together, such as those of a
 	// release, arrive in one watch.
 	batchDelay = 20 * time.Millisecond
@@ -104,6 +108,10 @@
 	// IsWatcher reports whether this daemon is a designated watcher, which watches the store for others and renews its
 	// watches often. Other followers use long waits.
 	IsWatcher func() bool
+	// LargeDeployment reports whether there are several cells of daemons. nil means that there are not.
+	LargeDeployment func() bool
+	// ProbesOutage reports whether this daemon is one of those that call a failing store often. nil means that it is.
+	ProbesOutage func() bool
 	// RelyOnNeighbors stops a follower that is not a designated watcher from calling the store while it has an image
 	// and the last call succeeded; changes then come from neighbours.
 	RelyOnNeighbors bool
@@ -119,6 +127,9 @@
 	wait := longWatchWait
 	if f.options.IsWatcher() {
 		wait = shortWatchWait
+		if f.options.LargeDeployment != nil && f.options.LargeDeployment() {
+			wait = largeWatchWait
+		}
 	}
 	return time.Duration(float64(wait) * (1 - watchJitter + 2*watchJitter*rand.Float64()))
 }
@@ -151,8 +162,17 @@
 			continue
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, f.backoffLimit())
+	}
+}
+
+// backoffLimit returns the longest mean pause between two calls to a failing store. A daemon without a copy of its own
+// depends on the store as much as those that look out for the end of its outage.
+func (f *Follower) backoffLimit() time.Duration {
+	if _, known := f.Image(); !known || f.options.ProbesOutage == nil || f.options.ProbesOutage() {
+		return maxBackoff
 	}
+	return maxOtherBackoff
 }
 
 // syncOnce lists the kind if there is no image yet, and otherwise makes one watch call.
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -18,6 +18,7 @@
 	image     Image
 	watches   chan platform.Watch
 	err       error
+	calls     int
 	compacted bool // the next watch returns ErrRevisionCompacted
 }
 
@@ -29,6 +30,7 @@
 
 func (s *fakeSource) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (platform.Watch, error) {
 	s.mu.Lock()
+	s.calls++
 	err := s.err
 	if s.compacted {
 		err, s.compacted = ErrRevisionCompacted, false
@@ -167,3 +169,39 @@
 	f.ApplyChange(before, change)
 	require.Empty(t, out)
 }
+
+// Guards against an outage of the store in which every daemon calls it again and again, although a few notice its return for
+// all, and against daemons that notice it late although they are to look out for it.
+func TestFewDaemonsProbeAnOutage(t *testing.T) {
+	const outage = 4 * time.Second
+	calls := map[bool]int{}
+	for _, probes := range []bool{true, false} {
+		s := &fakeSource{image: imageOf(5, object("a", 3)), watches: make(chan platform.Watch)}
+		known := make(chan bool, 100)
+		f := NewFollower("k", s, evlog.Discard(), Options{
+			OnChange: func(Image, bool) { known <- true }, IsWatcher: func() bool { return probes },
+			ProbesOutage: func() bool { return probes },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		<-known
+		s.fail(platform.ErrRejected)
+		s.mu.Lock()
+		before := s.calls
+		s.mu.Unlock()
+		time.Sleep(outage)
+		s.mu.Lock()
+		calls[probes] = s.calls - before
+		s.mu.Unlock()
+		s.fail(nil)
+		require.Eventually(t, func() bool { return !f.Failing() }, 2*maxOtherBackoff, 10*time.Millisecond)
+		cancel()
+		<-done
+	}
+	require.Greater(t, calls[true], int(outage/(2*maxBackoff)))
+	require.Less(t, calls[false], 2*calls[true]/3)
+}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -94,10 +94,12 @@
 	d.link = link
 	d.scheduler.broadcast = link.Broadcast
 	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, directory.Options{
-		OnChange: d.configChanged, IsWatcher: d.isWatcher,
+		OnChange: d.configChanged, IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage,
+		LargeDeployment: d.severalCells,
 	})
 	d.serverEntries = directory.NewFollower(KindServers, a.Store, env.Log, directory.Options{
-		OnChange: d.entriesChanged, OnRead: d.broadcastDelta, IsWatcher: d.isWatcher, RelyOnNeighbors: true,
+		OnChange: d.entriesChanged, OnRead: d.broadcastDelta, IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage,
+		LargeDeployment: d.severalCells, RelyOnNeighbors: true,
 	})
 	d.handler = &forward.Handler{
 		HeaderCodec: a.Codec, Scheduler: d.scheduler, Budget: d.budget, CrashTracker: (*crashTracker)(d), Pool: d.pool,
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -39,8 +39,10 @@
 		content, to string
 		bytes       int64
 	}{
-		{"summary", "own_domain", t.SummariesInDomain.Load()}, {"summary", "other_domain", t.SummariesToOthers.Load()},
-		{"update", "own_domain", t.UpdatesInDomain.Load()}, {"update", "other_domain", t.UpdatesToOthers.Load()},
+		{"summary", "own_domain", t.SummariesInDomain.Load()},
+		{"summary", "other_domain", t.SummariesToOthers.Load()},
+		{"update", "own_domain", t.UpdatesInDomain.Load()},
+		{"update", "other_domain", t.UpdatesToOthers.Load()},
 	} {
 		tags := map[string]string{"content": c.content, "to": c.to}
 		d.metrics.Scope.Tagged(tags).Gauge("neighbour_bytes_sent").Update(float64(c.bytes))
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
@@ -9,11 +10,23 @@
 	"github.com/carobstile/carobstile/internal/rendezvous"
 )
 
-// watcherCount is the number of daemons of a cell that watch the store for the others. There are several because some
-// may be refused by the store or die at the same time.
-const watcherCount = 4
+// watcherCount is the number of daemons of a cell that watch the store for the others, in deployments of one cell, and
+// largeWatcherCount that in others. There are several because some may be refused by the store or die at the same time.
+const (
+	watcherCount      = 4
+	largeWatcherCount = 3
+)
+
+func (d *Daemon) severalCells() bool { return d.link.CellCount() > 1 }
 
-// isWatcher reports whether this daemon is a designated watcher: one of the watcherCount daemons that rank first among
+func (d *Daemon) watcherCount() int {
+	if d.severalCells() {
+		return largeWatcherCount
+	}
+	return watcherCount
+}
+
+// isWatcher reports whether this daemon is a designated watcher: one of the daemons that rank first among
 // those whose calls the store answers. A daemon with seeds that started less than startupPeriod ago does not count as a
 // watcher while it knows no other live daemon.
 func (d *Daemon) isWatcher() bool {
@@ -21,7 +34,7 @@
 	if len(candidates) == 1 && len(d.settings.Seeds) > 0 && time.Since(d.start) < startupPeriod {
 		return false
 	}
-	for _, name := range rendezvous.Top("watch", candidates, watcherCount) {
+	for _, name := range rendezvous.Top("watch", candidates, d.watcherCount()) {
 		if name == d.settings.Name {
 			return true
 		}
@@ -29,6 +42,12 @@
 	return false
 }
 
+// probesOutage reports whether this daemon is one of the daemons of its cell that call a failing store often,
+// so that its return is noticed soon. The others hear of changes from them and call it seldom.
+func (d *Daemon) probesOutage() bool {
+	return slices.Contains(rendezvous.Top("watch", d.link.Live(), d.watcherCount()), d.settings.Name)
+}
+
 // storeFailing reports whether this daemon's last call to the store for the configuration or the servers failed.
 func (d *Daemon) storeFailing() bool { return d.serverEntries.Failing() || d.config.Failing() }
 
--- a/internal/neighbors/cells_test.go
+++ b/internal/neighbors/cells_test.go
@@ -24,9 +24,21 @@
 // with too few engines for a long prompt.
 func TestCellCountDependsOnDaemonsAndServers(t *testing.T) {
 	for _, c := range []struct{ daemons, domains, servers, cells int }{
-		{9, 1, 24, 1}, {30, 1, 303, 1}, {60, 1, 76, 1}, {65, 1, 49, 1}, {100, 1, 1002, 6}, {300, 1, 3000, 18}, {360, 1, 1200, 7}, {200, 1, 100, 3},
+		{9, 1, 24, 1},
+		{30, 1, 303, 1},
+		{60, 1, 76, 1},
+		{65, 1, 49, 1},
+		{100, 1, 1002, 6},
+		{300, 1, 3000, 18},
+		{360, 1, 1200, 7},
+		{200, 1, 100, 3},
 		// Cells follow the domains unless these have too few servers.
-		{195, 5, 178, 5}, {270, 5, 178, 5}, {100, 3, 1002, 6}, {300, 3, 3000, 18}, {81, 3, 48, 2}, {60, 3, 76, 1},
+		{195, 5, 178, 5},
+		{270, 5, 178, 5},
+		{100, 3, 1002, 6},
+		{300, 3, 3000, 18},
+		{81, 3, 48, 2},
+		{60, 3, 76, 1},
 	} {
 		layout := newCellLayout(domainsOf(c.daemons, c.domains), c.servers)
 		require.Equal(t, c.cells, layout.count(), "%d daemons in %d domains, %d servers", c.daemons, c.domains, c.servers)
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -34,9 +34,15 @@
 			},
 		},
 		Bursts: []Burst{
-			{"short", 0, 10 * s, 0.31}, {"medium", 0, 10 * s, 1.3}, {"long", 0, 10 * s, 2.9},
-			{"short", 10 * s, 20 * s, 2.5}, {"medium", 10 * s, 20 * s, 0.5}, {"long", 10 * s, 20 * s, 0.05},
-			{"short", 20 * s, 30 * s, 0.31}, {"medium", 20 * s, 30 * s, 1.3}, {"long", 20 * s, 30 * s, 2.9},
+			{"short", 0, 10 * s, 0.31},
+			{"medium", 0, 10 * s, 1.3},
+			{"long", 0, 10 * s, 2.9},
+			{"short", 10 * s, 20 * s, 2.5},
+			{"medium", 10 * s, 20 * s, 0.5},
+			{"long", 10 * s, 20 * s, 0.05},
+			{"short", 20 * s, 30 * s, 0.31},
+			{"medium", 20 * s, 30 * s, 1.3},
+			{"long", 20 * s, 30 * s, 2.9},
 		},
 	}
 }
