dispatch: each request prefers some of the idle plain servers

Change: plain servers get the preference that engines have, a small pseudo-random loss for each pair of request and server. Before: TestDaemonsSpreadOverIdlePlainServers finds one server for 60 daemons. After: it passes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -372,11 +372,12 @@
 		if s.Leaving || !s.standing.admits(now) || slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
-		cand := &candidate{server: s, queueLossPerMs: lossRate}
+		cand := &candidate{
+			server: s, queueLossPerMs: lossRate, preference: preferenceLossPerDaemon * float64(c.daemons) * preference(w, s),
+		}
 		if svc.Model != nil {
 			s.dropPrefills(nil, now)
 			cand.pass, cand.pending = s.passMs(), s.pendingPrefillMs(now)
-			cand.preference = preferenceLossPerDaemon * float64(c.daemons) * preference(w, s)
 		}
 		if s.suspect(now) {
 			suspects = append(suspects, cand)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -248,6 +248,21 @@
 	requireNoJobs(t, c)
 }
 
+// Guards against daemons that all choose the same idle plain server until they hear of each other's choices.
+func TestDaemonsSpreadOverIdlePlainServers(t *testing.T) {
+	const daemons, servers = 60, 3
+	chosen := map[string]int{}
+	for i := range daemons {
+		c := newTestCore(0, servers)
+		c.Step(DaemonCountChanged{Count: daemons})
+		chosen[assigned(c.Step(Arrived{Now: 10, Work: plainWork(uint64(100+i), 10)}), uint64(100+i)).Lead.ID]++
+	}
+	require.Len(t, chosen, servers)
+	for id, n := range chosen {
+		require.Less(t, n, daemons/2, id)
+	}
+}
+
 func codec() *golden.Codec {
 	return golden.NewCodec(
 		ServersChanged{}, Arrived{}, Cancelled{}, FirstEvent{}, Finished{}, ServerFailed{}, ServerAlive{}, PeerPlaced{},
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -8,7 +8,8 @@
 )
 
 // plainOption returns the plain server with the least loss from load, failures and failure domain, or nil if all are
-// full.
+// full. Among servers with about the same loss each request has its own preference; otherwise all daemons would choose the
+// same server until they hear of each other's choices.
 func (c *Core) plainOption(list []*candidate) *option {
 	var best *option
 	for _, s := range list {
@@ -16,7 +17,7 @@
 			continue
 		}
 		loss := slotUseLoss*float64(len(s.jobs))/float64(max(1, s.Slots)) + failureLoss*s.failureRate + c.domainLoss(s.server)
-		if best == nil || loss < best.loss {
+		if best == nil || loss+s.preference < best.loss+best.lead.preference {
 			best = &option{lead: s, loss: loss}
 		}
 	}
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -133,7 +133,7 @@
 	delayLoss      float64
 	// loss is delayLoss plus the losses for load and failures.
 	loss float64
-	// preference is a small loss that differs between requests. It counts only in comparisons of engines.
+	// preference is a small loss that differs between requests. It counts only in comparisons of servers.
 	preference float64
 }
 
