dispatch: requests of neighbours to plain services end by themselves

Cause: in a cell of 81 daemons messages about ends are batched for 200 ms. Change: such a request counts for twice the usual time of an answer, which each daemon learns from its own requests. Before: TestPlainRequestsOfPeersEndByThemselves waits for the messages. After: it passes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -25,6 +25,11 @@
 	retryAfter = core.Second
 	// peerJobGrace is how long a peer's job is kept past its deadline if the message about its end was lost.
 	peerJobGrace = 500 * core.Millisecond
+	// A request of a peer to a plain service counts for peerAnswerTimes times the usual time of an answer. The message about
+	// its end is batched and can come later than several answers take, so that servers would seem full.
+	peerAnswerTimes = 2
+	// answerTimeWeight is the weight of the newest answer in the moving average of a service.
+	answerTimeWeight = 0.1
 	// maxOthersLossShare is the share of a late request's remaining benefit above which the loss of other requests
 	// makes it wait, while it can.
 	maxOthersLossShare = 0.1
@@ -47,6 +52,17 @@
 type service struct {
 	Service
 	servers []*server // sorted by ID
+	// answerTime is the moving average of the time that this daemon's requests take on a plain service; 0 if unknown.
+	answerTime core.Micros
+}
+
+// observeAnswer updates answerTime.
+func (s *service) observeAnswer(took core.Micros) {
+	if s.answerTime == 0 {
+		s.answerTime = took
+		return
+	}
+	s.answerTime += core.Micros(answerTimeWeight * float64(took-s.answerTime))
 }
 
 // New returns the reducer of a daemon in the given failure domain.
@@ -132,11 +148,14 @@
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) serversChanged(e ServersChanged) {
-	old := c.servers
+	old, oldServices := c.servers, c.services
 	c.servers = make(map[string]*server, len(e.Servers))
 	c.services = make(map[string]*service, len(e.Services))
 	for _, s := range e.Services {
 		c.services[s.Name] = &service{Service: s}
+		if before := oldServices[s.Name]; before != nil {
+			c.services[s.Name].answerTime = before.answerTime
+		}
 	}
 	list := slices.Clone(e.Servers)
 	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -188,6 +207,9 @@
 	}
 	j.lead.succeeded()
 	j.answered()
+	if svc := c.services[j.service]; svc != nil && svc.Model == nil {
+		svc.observeAnswer(e.Now - j.placed)
+	}
 	c.endJob(j)
 	c.emit(AnnounceEnd{ID: e.ID})
 	c.processWaiting(e.Now)
@@ -256,7 +278,10 @@
 	j := &job{
 		id: e.Job.ID, peer: e.Peer, service: e.Job.Service, lead: lead, prompt: e.Job.Prompt, answer: e.Job.Answer,
 		maxPause: e.Job.MaxPause, firstEventDue: e.Now + e.Job.FirstIn, expires: e.Now + e.Job.EndIn + peerJobGrace,
-		benefit: estimateBenefit(e.Job.Prompt, e.Job.Answer), decoding: e.Job.Decoding,
+		benefit: estimateBenefit(e.Job.Prompt, e.Job.Answer), decoding: e.Job.Decoding, placed: e.Now,
+	}
+	if svc := c.services[j.service]; svc != nil && svc.Model == nil && svc.answerTime > 0 {
+		j.expires = min(j.expires, e.Now+peerAnswerTimes*svc.answerTime)
 	}
 	for _, r := range e.Job.Reservations {
 		if s := c.servers[r.Server]; s != nil {
@@ -352,6 +377,7 @@
 		return nil
 	}
 	if svc.Model == nil {
+		c.expirePeerJobs(now)
 		return c.plainOption(list)
 	}
 	if o := c.engineOption(now, w, list); o != nil {
@@ -445,7 +471,7 @@
 func (c *Core) assign(now core.Micros, w *Work, o *option) {
 	j := &job{
 		id: w.ID, service: w.Service, lead: o.lead.server, prompt: w.Prompt, answer: w.Answer, maxPause: w.MaxPause,
-		firstEventDue: w.FirstEventDue, expires: w.Deadline, benefit: estimateBenefit(w.Prompt, w.Answer),
+		firstEventDue: w.FirstEventDue, expires: w.Deadline, benefit: estimateBenefit(w.Prompt, w.Answer), placed: now,
 		reservations: o.reservations,
 	}
 	plan := Plan{Lead: o.lead.Server, FirstEventAt: now + micros(o.firstMs), Loss: o.loss}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -263,6 +263,31 @@
 	}
 }
 
+// Guards against a plain server that seems full because the messages about the ends of neighbours' requests come later than
+// the answers: with 81 daemons they are batched for 200 ms, and an answer takes 20 ms.
+func TestPlainRequestsOfPeersEndByThemselves(t *testing.T) {
+	const answer = 20 * core.Millisecond
+	c := newTestCore(0, 1)
+	c.Step(Arrived{Now: 10, Work: plainWork(1, 10)})
+	c.Step(Finished{Now: 10 + answer, ID: 1})
+	c.Step(serversChangedEvent(0, 1)) // the usual time is kept
+	now := second
+	for id := range uint64(6) {
+		c.Step(PeerPlaced{Now: now, Peer: "b", Job: Job{ID: 100 + id, Service: "desk", Lead: "p00", EndIn: second}})
+	}
+	require.Nil(t, assigned(c.Step(Arrived{Now: now, Work: plainWork(2, now)}), 2), "all slots are in use")
+	require.NotNil(t, assigned(c.Step(Tick{Now: now + 2*answer}), 2))
+	c.Step(PeerEnded{Now: now + 10*answer, ID: 100})
+	requireNoPeerJobs(t, c)
+}
+
+func requireNoPeerJobs(t *testing.T, c *Core) {
+	t.Helper()
+	for _, j := range c.jobs {
+		require.Empty(t, j.peer)
+	}
+}
+
 func codec() *golden.Codec {
 	return golden.NewCodec(
 		ServersChanged{}, Arrived{}, Cancelled{}, FirstEvent{}, Finished{}, ServerFailed{}, ServerAlive{}, PeerPlaced{},
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -40,6 +40,7 @@
 	leadMemory     int // tokens
 	reservations   []reservation
 	maxPause       core.Micros
+	placed         core.Micros
 	firstEventDue  core.Micros
 	expires        core.Micros
 	benefit        float64
