dispatch: engines that are busy leave less room for huge prompts

Change: the factor falls from its full value while half of the engines prefill on average to 1 at eight tenths.

--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// maxAdmissionFactor and enginesPerFactor determine admissionFactor.
+	// maxAdmissionFactor and enginesPerFactor determine admissionFactor while at most freeBusyShare of the engines prefill;
+	// it falls to 1 at fullBusyShare.
 	maxAdmissionFactor = 2.5
 	enginesPerFactor   = 24
+	freeBusyShare      = 0.5
+	fullBusyShare      = 0.8
 	// hugeTokens is the length from which the prefill of a prompt occupies more than ten engines for a second.
 	hugeTokens = 300_000
 	// lateLossShare is the share of its benefit that a late request loses.
@@ -89,13 +92,16 @@
 	}
 	full := estimateBenefit(longTokens, w.Answer) * svc.Model.PrefillMs(w.Prompt) / usual
 	waited := min(1, float64(now-w.Arrived)/max(1, float64(w.longestWait())))
-	return min(admissionFactor(len(svc.servers))*benefit, benefit+max(0, full-benefit)*math.Sqrt(waited))
+	busy := c.prefillLoads.load(now, w.Service, -1) / float64(max(1, len(svc.servers)))
+	return min(admissionFactor(len(svc.servers), busy)*benefit, benefit+max(0, full-benefit)*math.Sqrt(waited))
 }
 
-// admissionFactor returns the largest loss that a long prompt may cause, as a multiple of its benefit. Few engines have no
-// room beside such a prompt: with 14 engines and a factor of 2.5, a quarter of the short requests came late.
-func admissionFactor(engines int) float64 {
-	return min(maxAdmissionFactor, 1+float64(engines)/enginesPerFactor)
+// admissionFactor returns the largest loss that a long prompt may cause, as a multiple of its benefit; busy is the average
+// share of the engines that prefill. Few engines have no room beside such a prompt: with 14 engines and a factor of 2.5, a
+// quarter of the short requests came late. Engines that are busy anyway are left to the prompts that earn most.
+func admissionFactor(engines int, busy float64) float64 {
+	room := min(1, max(0, (fullBusyShare-busy)/(fullBusyShare-freeBusyShare)))
+	return 1 + (min(maxAdmissionFactor, 1+float64(engines)/enginesPerFactor)-1)*room
 }
 
 // prefillsHugePrompt reports whether engines of a service prefill a prompt over hugeTokens.
