--- a/internal/neighbors/cells_test.go
+++ b/internal/neighbors/cells_test.go
@@ -37,7 +37,8 @@
 		{270, 5, 178, 5},
 		{100, 3, 1002, 6},
 		{300, 3, 3000, 18},
-		{81, 3, 48, 1}, {120, 3, 48, 2},
+		{81, 3, 48, 1},
+		{120, 3, 48, 2},
 		{60, 3, 76, 1},
 	} {
 		layout := newCellLayout(domainsOf(c.daemons, c.domains), c.servers)
