--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// maxAdmissionFactor and enginesPerFactor determine admissionFactor while at most freeBusyShare of the engines prefill;
+	// maxAdmissionFactor, fewEngines and enginesPerFactor determine admissionFactor while at most freeBusyShare of the engines prefill;
 	// it falls to 1 at fullBusyShare.
 	maxAdmissionFactor = 2.5
-	enginesPerFactor   = 24
+	fewEngines         = 14
+	enginesPerFactor   = 14
 	freeBusyShare      = 0.5
 	fullBusyShare      = 0.8
 	// hugeTokens is the length from which the prefill of a prompt occupies more than ten engines for a second.
@@ -97,11 +98,11 @@
 }
 
 // admissionFactor returns the largest loss that a long prompt may cause, as a multiple of its benefit; busy is the average
-// share of the engines that prefill. Few engines have no room beside such a prompt: with 14 engines and a factor of 2.5, a
-// quarter of the short requests came late. Engines that are busy anyway are left to the prompts that earn most.
+// share of the engines that prefill. Few engines have no room beside such a prompt: with 14 engines and a factor of 1.6,
+// other requests lost more than such prompts gained. Engines that are busy anyway are left to the prompts that earn most.
 func admissionFactor(engines int, busy float64) float64 {
 	room := min(1, max(0, (fullBusyShare-busy)/(fullBusyShare-freeBusyShare)))
-	return 1 + (min(maxAdmissionFactor, 1+float64(engines)/enginesPerFactor)-1)*room
+	return 1 + min(maxAdmissionFactor-1, float64(max(0, engines-fewEngines))/enginesPerFactor)*room
 }
 
 // prefillsHugePrompt reports whether engines of a service prefill a prompt over hugeTokens.
