--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -88,3 +88,17 @@
 		}
 	}
 }
+
+// Guards against the largest prompts being served much less often than all of their kind, by the mark of issue 21, with each seed:
+// the largest tenth and the fifth below it at least 0.7 as often as the whole kind.
+func TestLargestPromptsReachTheMark(t *testing.T) {
+	const leastShare = 0.7 // of how often the whole kind is served
+	for _, seed := range []uint64{1, 2, 3} {
+		r := Run(classroom(seed))
+		t.Logf("seed %d: %s", seed, r)
+		for i, k := range r.Kinds {
+			require.GreaterOrEqual(t, r.Largest[i].Served(), leastShare*k.Served(), "seed %d, %s", seed, r.Largest[i].Name)
+			require.GreaterOrEqual(t, r.Large[i].Served(), leastShare*k.Served(), "seed %d, %s", seed, r.Large[i].Name)
+		}
+	}
+}
