--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -248,7 +250,9 @@
 func (q *request) recordFault(plan dispatch.Plan, f dispatch.Fault) {
 	q.h.Scheduler.RecordFailure(plan.Lead.ID, f)
 	q.h.Metrics.recordFailure(q.service, plan.Lead, f)
-	q.h.Log.Info(evlog.MessageFailed, evlog.KeyRequest, q.ID, "server", plan.Lead.ID, "fault", f, "reason", q.reason)
+	q.h.Log.Info(evlog.MessageFailed, evlog.KeyRequest, q.ID, "server", plan.Lead.ID, "fault", f, "reason", q.reason,
+		"begun", q.stream.eventCount > 0, "fingerprint", hex.EncodeToString([]byte(q.fingerprint)),
+		"parts", strings.Join(q.SharedParts, ","))
 }
 
 // handleResponse handles the response of a server from its header on.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -26,6 +26,8 @@
 	PromptTokens, MaxAnswerTokens, AnswerTokensHint int
 	// LastEventID is the id of the last event that the caller received, "" for a new stream.
 	LastEventID string
+	// SharedParts holds the ids of the parts of the prompt that other requests may share, in order.
+	SharedParts []string
 }
 
 // Helper is an engine that processes a part of a prompt.
