--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -15,6 +15,8 @@
 	KindConfig  = "config"  // configurations written by the operator
 	KindServers = "servers" // entries written by backend servers
 	KindDaemons = "daemons" // entries written by daemons
+	// KindVerdicts holds the verdicts of package quarantine, written by daemons.
+	KindVerdicts = "verdicts"
 )
 
 // Store is the client of the platform's store.
@@ -22,9 +24,9 @@
 	directory.Source
 	// ListStale is List at a tenth of the price; its result may be seconds old.
 	ListStale(ctx context.Context, kind string) (directory.Image, error)
-	// PutMember writes the entry by which other daemons find this one. DeleteMember removes the entry of a daemon.
-	PutMember(ctx context.Context, name string, value []byte) error
-	DeleteMember(ctx context.Context, name string) error
+	// Put writes an object of a kind that daemons write, and Delete removes one.
+	Put(ctx context.Context, kind, name string, value []byte) error
+	Delete(ctx context.Context, kind, name string) error
 }
 
 // Report is the state that a backend server reported, some hundred milliseconds old.
--- /dev/null
+++ b/internal/edge/crashes.go
@@ -0,0 +1,304 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/forward"
+	"github.com/carobstile/carobstile/internal/platform"
+	"github.com/carobstile/carobstile/internal/quarantine"
+	"github.com/carobstile/carobstile/internal/rendezvous"
+	"github.com/carobstile/carobstile/internal/shell"
+)
+
+const (
+	// verdictSaveInterval is how often the verdicts in the store are compared with those in force.
+	verdictSaveInterval = 500 * time.Millisecond
+	// verdictLoadRetry is the pause after a failed read of the verdicts in the store.
+	verdictLoadRetry = 500 * time.Millisecond
+	// verdictWriters is the number of daemons that write a verdict to the store. There are two in case one of them dies.
+	verdictWriters = 2
+)
+
+// crashTracker runs quarantine.Core: it serializes the events and performs their effects. It is safe for concurrent use.
+type crashTracker struct {
+	now       func() core.Micros
+	log       *slog.Logger
+	broadcast func(add func(p *carobstilev1.EdgePacket))
+	// onVerdict is called after a verdict has come into force.
+	onVerdict func()
+
+	mu   sync.Mutex
+	core *quarantine.Core
+}
+
+var _ forward.CrashTracker = (*crashTracker)(nil)
+
+func newCrashTracker(
+	now func() core.Micros, broadcast func(add func(p *carobstilev1.EdgePacket)), log *slog.Logger,
+) *crashTracker {
+	return &crashTracker{now: now, log: log, broadcast: broadcast, core: quarantine.New(), onVerdict: func() {}}
+}
+
+// Blocked implements forward.CrashTracker.
+func (t *crashTracker) Blocked(traits []quarantine.Trait) (quarantine.Verdict, time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v, left, blocked := t.core.Blocked(t.now(), traits)
+	return v, left.Duration(), blocked
+}
+
+// RecordBreak implements forward.CrashTracker.
+func (t *crashTracker) RecordBreak(traits []quarantine.Trait, server dispatch.Process) {
+	t.step(quarantine.ServerBroke{Now: t.now(), Process: server, Traits: traits})
+}
+
+// RecordAnswer implements forward.CrashTracker.
+func (t *crashTracker) RecordAnswer(traits []quarantine.Trait) {
+	t.step(quarantine.AnswerBegan{Now: t.now(), Traits: traits})
+}
+
+// recordPeer applies what another daemon has observed.
+func (t *crashTracker) recordPeer(
+	crashes []*carobstilev1.EdgeCrash, sound []uint64, verdicts []*carobstilev1.EdgeVerdict,
+) {
+	for _, c := range crashes {
+		t.step(quarantine.PeerSawBreak{
+			Now: t.now(), Process: dispatch.Process{ID: c.GetServer(), StartedAt: c.GetStartedAt()},
+			Traits: decodeTraits(c.GetTraits()), Age: core.Micros(c.GetAgeMicros()),
+		})
+	}
+	if len(sound) > 0 {
+		t.step(quarantine.PeerSawAnswer{Now: t.now(), Traits: decodeTraits(sound)})
+	}
+	for _, v := range verdicts {
+		t.step(quarantine.VerdictHeard{
+			Now: t.now(), Verdict: quarantine.Verdict{Traits: decodeTraits(v.GetTraits()), Age: core.Micros(v.GetAgeMicros())},
+		})
+	}
+}
+
+// step applies an event and performs its effects.
+func (t *crashTracker) step(ev quarantine.Event) {
+	t.mu.Lock()
+	effects := t.core.Step(ev)
+	t.mu.Unlock()
+	inForce := false
+	for _, effect := range effects {
+		inForce = t.perform(effect) || inForce
+	}
+	if inForce {
+		t.onVerdict()
+	}
+}
+
+// perform performs an effect and reports whether a verdict has come into force.
+func (t *crashTracker) perform(effect quarantine.Effect) bool {
+	switch e := effect.(type) {
+	case quarantine.AnnounceSuspect:
+		t.broadcast(func(p *carobstilev1.EdgePacket) {
+			p.Crashes = append(p.Crashes, encodeSuspect(quarantine.Suspect{Process: e.Process, Traits: e.Traits}))
+		})
+	case quarantine.AnnounceSound:
+		t.broadcast(func(p *carobstilev1.EdgePacket) { p.Sound = append(p.Sound, encodeTraits(e.Traits)...) })
+	case quarantine.VerdictReached:
+		t.log.Warn("requests refused from now on", "traits", formatTraits(e.Verdict.Traits), "source", "own",
+			"crashes", e.Crashes, "suspects", e.Suspects)
+		t.broadcast(func(p *carobstilev1.EdgePacket) { p.Verdicts = append(p.Verdicts, encodeVerdict(e.Verdict)) })
+		return true
+	case quarantine.VerdictAdopted:
+		t.log.Warn("requests refused from now on", "traits", formatTraits(e.Verdict.Traits), "source", "other daemon or store",
+			"age_ms", e.Verdict.Age.Duration().Milliseconds())
+		return true
+	case quarantine.VerdictLifted:
+		t.log.Warn("requests no longer refused, one was answered", "traits", formatTraits(e.Verdict.Traits))
+	}
+	return false
+}
+
+func (t *crashTracker) verdicts() []quarantine.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Verdicts(t.now())
+}
+
+func (t *crashTracker) encodeVerdicts() []*carobstilev1.EdgeVerdict {
+	var out []*carobstilev1.EdgeVerdict
+	for _, v := range t.verdicts() {
+		out = append(out, encodeVerdict(v))
+	}
+	return out
+}
+
+func (t *crashTracker) encodeSuspects() []*carobstilev1.EdgeCrash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*carobstilev1.EdgeCrash
+	for _, s := range t.core.Suspects(t.now()) {
+		out = append(out, encodeSuspect(s))
+	}
+	return out
+}
+
+func encodeSuspect(s quarantine.Suspect) *carobstilev1.EdgeCrash {
+	return &carobstilev1.EdgeCrash{
+		Server: s.Process.ID, StartedAt: s.Process.StartedAt, Traits: encodeTraits(s.Traits), AgeMicros: int64(s.Age),
+	}
+}
+
+func encodeVerdict(v quarantine.Verdict) *carobstilev1.EdgeVerdict {
+	return &carobstilev1.EdgeVerdict{Traits: encodeTraits(v.Traits), AgeMicros: int64(v.Age)}
+}
+
+func encodeTraits(traits []quarantine.Trait) []uint64 {
+	out := make([]uint64, len(traits))
+	for i, t := range traits {
+		out[i] = uint64(t)
+	}
+	return out
+}
+
+func decodeTraits(values []uint64) []quarantine.Trait {
+	out := make([]quarantine.Trait, len(values))
+	for i, v := range values {
+		out[i] = quarantine.Trait(v)
+	}
+	return out
+}
+
+func formatTraits(traits []quarantine.Trait) string {
+	text := ""
+	for i, t := range traits {
+		if i > 0 {
+			text += ","
+		}
+		text += strconv.FormatUint(uint64(t), 16)
+	}
+	return text
+}
+
+// storedVerdict is a verdict as written to the store.
+type storedVerdict struct {
+	// Traits are in hexadecimal: not every JSON reader keeps 64 bits of a number.
+	Traits []string `json:"traits"`
+	// MadeAt is the Unix time in milliseconds at which the verdict was reached or renewed.
+	MadeAt int64 `json:"madeAt"`
+}
+
+// loadVerdicts reads the verdicts in the store once. Daemons that restart together have no neighbour that knows them.
+func (d *Daemon) loadVerdicts(ctx context.Context) {
+	for {
+		image, err := d.adapter.Store.List(ctx, KindVerdicts)
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			for name, o := range image.Objects {
+				d.adoptStoredVerdict(name, o.Value)
+			}
+			return
+		}
+		d.log.Info("failed to read verdicts", "err", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(verdictLoadRetry):
+		}
+	}
+}
+
+func (d *Daemon) adoptStoredVerdict(name string, value []byte) {
+	if len(value) == 0 {
+		return // the store client has logged it
+	}
+	v, err := decodeStoredVerdict(value, time.Now())
+	if err != nil {
+		d.log.Warn("failed to decode verdict", "name", name, "err", err)
+		return
+	}
+	d.crashes.step(quarantine.VerdictHeard{Now: d.now(), Verdict: v})
+}
+
+func decodeStoredVerdict(value []byte, now time.Time) (quarantine.Verdict, error) {
+	var stored storedVerdict
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return quarantine.Verdict{}, errors.Wrap(err, "decode verdict")
+	}
+	// The clock of the daemon that wrote the verdict may be ahead.
+	v := quarantine.Verdict{Age: max(0, core.FromDuration(now.Sub(time.UnixMilli(stored.MadeAt))))}
+	for _, text := range stored.Traits {
+		t, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return quarantine.Verdict{}, errors.Wrapf(err, "trait %q", text)
+		}
+		v.Traits = append(v.Traits, quarantine.Trait(t))
+	}
+	if !slices.IsSorted(v.Traits) {
+		return quarantine.Verdict{}, errors.New("traits are not sorted")
+	}
+	return v, nil
+}
+
+func encodeStoredVerdict(v quarantine.Verdict, now time.Time) ([]byte, error) {
+	stored := storedVerdict{MadeAt: now.Add(-v.Age.Duration()).UnixMilli()}
+	for _, t := range v.Traits {
+		stored.Traits = append(stored.Traits, strconv.FormatUint(uint64(t), 16))
+	}
+	return json.Marshal(stored)
+}
+
+// saveVerdicts keeps the verdicts for which this daemon is responsible in the store, until ctx ends.
+func (d *Daemon) saveVerdicts(ctx context.Context) {
+	saved := map[uint64]core.Micros{} // when they were reached, by key
+	shell.Every(ctx, verdictSaveInterval, func(ctx context.Context) {
+		inForce := map[uint64]bool{}
+		for _, v := range d.crashes.verdicts() {
+			inForce[v.Key()] = true
+			made := d.now() - v.Age
+			if at, ok := saved[v.Key()]; ok && made-at < core.Second || !d.writesVerdict(v) {
+				continue
+			}
+			if d.saveVerdict(ctx, v) {
+				saved[v.Key()] = made
+			}
+		}
+		for key := range saved {
+			if !inForce[key] && d.deleteVerdict(ctx, key) {
+				delete(saved, key)
+			}
+		}
+	})
+}
+
+func verdictName(key uint64) string { return strconv.FormatUint(key, 16) }
+
+func (d *Daemon) writesVerdict(v quarantine.Verdict) bool {
+	return slices.Contains(rendezvous.Top(verdictName(v.Key()), d.link.LiveWithStore(), verdictWriters), d.settings.Name)
+}
+
+func (d *Daemon) saveVerdict(ctx context.Context, v quarantine.Verdict) bool {
+	value, err := encodeStoredVerdict(v, time.Now())
+	if err == nil {
+		err = d.adapter.Store.Put(ctx, KindVerdicts, verdictName(v.Key()), value)
+	}
+	if err != nil {
+		d.log.Warn("failed to save verdict", "traits", formatTraits(v.Traits), "err", err)
+	}
+	return err == nil
+}
+
+func (d *Daemon) deleteVerdict(ctx context.Context, key uint64) bool {
+	err := d.adapter.Store.Delete(ctx, KindVerdicts, verdictName(key))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		d.log.Warn("failed to delete verdict", "name", verdictName(key), "err", err)
+		return false
+	}
+	return true
+}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -13,7 +13,6 @@
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/app"
 	"github.com/carobstile/carobstile/internal/core"
-	"github.com/carobstile/carobstile/internal/crashes"
 	"github.com/carobstile/carobstile/internal/directory"
 	"github.com/carobstile/carobstile/internal/dispatch"
 	"github.com/carobstile/carobstile/internal/forward"
@@ -27,8 +26,6 @@
 )
 
 const (
-	// crashLimit is the number of servers that a request may crash before it is refused.
-	crashLimit = 3
 	// initialDaemonCount is the number of daemons that are assumed to share the retry budget until the number of known
 	// daemons is first applied.
 	initialDaemonCount = 16
@@ -53,7 +50,7 @@
 	handler        *forward.Handler
 	pool           *upstream.Pool
 	budget         *retrybudget.Budget
-	crashes        *crashes.Set
+	crashes        *crashTracker
 	config         *directory.Follower
 	serverEntries  *directory.Follower
 	metrics        *telemetry.Metrics
@@ -79,7 +76,7 @@
 func Start(s *Settings, env *app.Env, a Adapter) error {
 	d := &Daemon{
 		settings: s, adapter: a, log: env.Log, start: time.Now(), bootID: rand.Uint64(), pool: upstream.NewPool(),
-		crashes: crashes.NewSet(crashLimit), engineSlowdowns: map[string]float64{}, drained: make(chan struct{}),
+		engineSlowdowns: map[string]float64{}, drained: make(chan struct{}),
 		metrics: telemetry.New(),
 	}
 	d.latestSettings.Store(s)
@@ -93,6 +90,8 @@
 	}
 	d.link = link
 	d.scheduler.broadcast = link.Broadcast
+	d.crashes = newCrashTracker(d.now, link.BroadcastToAll, env.Log)
+	d.crashes.onVerdict = func() { d.handler.CancelBlocked() }
 	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, directory.Options{
 		OnChange: d.configChanged, IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage,
 		LargeDeployment: d.severalCells,
@@ -102,7 +101,7 @@
 		LargeDeployment: d.severalCells, RelyOnNeighbors: true,
 	})
 	d.handler = &forward.Handler{
-		HeaderCodec: a.Codec, Scheduler: d.scheduler, Budget: d.budget, CrashTracker: (*crashTracker)(d), Pool: d.pool,
+		HeaderCodec: a.Codec, Scheduler: d.scheduler, Budget: d.budget, CrashTracker: d.crashes, Pool: d.pool,
 		Memory: &reservations{engines: a.Engines, server: d.serverByID, scheduler: d.scheduler, log: env.Log},
 		Table:  d.table.Load, Now: d.now, Log: env.Log, Metrics: forward.NewMetrics(d.metrics.Scope),
 	}
@@ -125,7 +124,7 @@
 	}
 	for _, f := range []func(context.Context){
 		d.config.Run, d.serverEntries.Run, d.link.Run, d.maintainMembership, d.pollReports, d.housekeep, d.bootstrap,
-		d.publishGauges,
+		d.publishGauges, d.loadVerdicts, d.saveVerdicts,
 	} {
 		env.Background(f)
 	}
@@ -246,34 +245,3 @@
 	}
 	return max(0, service.MaxConns-connsPerSlot*s.Slots) / d.link.DaemonCount()
 }
-
-// crashTracker implements forward.CrashTracker with the daemon's crash records.
-type crashTracker Daemon
-
-// Blocked implements forward.CrashTracker.
-func (s *crashTracker) Blocked(fingerprint string) bool {
-	return s.crashes.Refused((*Daemon)(s).now(), crashes.Fingerprint(fingerprint))
-}
-
-// RecordCrash implements forward.CrashTracker.
-func (s *crashTracker) RecordCrash(fingerprint, server string) {
-	d := (*Daemon)(s)
-	d.recordCrash(&carobstilev1.EdgeCrash{Fingerprint: []byte(fingerprint), Server: server}, true)
-}
-
-// recordCrash adds a crash record. local says that this daemon saw the crash; the record is then sent to the
-// neighbours.
-func (d *Daemon) recordCrash(c *carobstilev1.EdgeCrash, local bool) {
-	change := d.crashes.Add(d.now(), crashes.Record{
-		Fingerprint: crashes.Fingerprint(c.GetFingerprint()), Incarnation: c.GetServer(), CreatedAt: d.now(),
-	})
-	if len(change.New) == 0 {
-		return
-	}
-	if len(change.ReachedLimit) > 0 {
-		d.log.Warn("request refused from now on", "fingerprint", change.ReachedLimit[0], "server", c.GetServer())
-	}
-	if local {
-		d.link.Broadcast(true, func(p *carobstilev1.EdgePacket) { p.Crashes = append(p.Crashes, c) })
-	}
-}
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -77,7 +77,7 @@
 	present bool
 }
 
-func (s *slowMemberStore) PutMember(ctx context.Context, _ string, _ []byte) error {
+func (s *slowMemberStore) Put(ctx context.Context, _, _ string, _ []byte) error {
 	time.Sleep(s.delay)
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -89,7 +89,7 @@
 	return nil
 }
 
-func (s *slowMemberStore) DeleteMember(context.Context, string) error {
+func (s *slowMemberStore) Delete(context.Context, string, string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.present = false
--- a/internal/edge/fetch.go
+++ b/internal/edge/fetch.go
@@ -65,9 +65,7 @@
 	for _, member := range m.GetMembers() {
 		d.link.AddMember(member)
 	}
-	for _, c := range m.GetCrashes() {
-		d.recordCrash(c, false)
-	}
+	d.crashes.recordPeer(m.GetCrashes(), nil, m.GetVerdicts())
 	d.scheduler.recordLeaving(m.GetLeaving())
 	for _, i := range m.GetImages() {
 		diff := d.decodeDiff(i)
@@ -92,11 +90,9 @@
 	if sender := req.Msg.GetSender(); sender != nil {
 		s.d.link.AddMember(sender)
 	}
-	out := &carobstilev1.FetchResponse{Members: s.d.link.Members(), Leaving: s.d.scheduler.leavingProcesses()}
-	for _, r := range s.d.crashes.Records(s.d.now()) {
-		out.Crashes = append(out.Crashes, &carobstilev1.EdgeCrash{
-			Fingerprint: []byte(r.Fingerprint), Server: r.Incarnation,
-		})
+	out := &carobstilev1.FetchResponse{
+		Members: s.d.link.Members(), Leaving: s.d.scheduler.leavingProcesses(), Crashes: s.d.crashes.encodeSuspects(),
+		Verdicts: s.d.crashes.encodeVerdicts(),
 	}
 	for _, w := range req.Msg.GetWanted() {
 		for _, f := range []*directory.Follower{s.d.config, s.d.serverEntries} {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode own entry")
 	}
-	return d.adapter.Store.PutMember(context.WithoutCancel(ctx), d.settings.Name, value)
+	return d.adapter.Store.Put(context.WithoutCancel(ctx), KindDaemons, d.settings.Name, value)
 }
 
 // removeOwnEntry removes the daemon's own entry, after a write of the entry that is in progress.
@@ -82,7 +82,7 @@
 	defer d.ownEntryMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), deleteMemberTimeout)
 	defer cancel()
-	if err := d.adapter.Store.DeleteMember(ctx, d.settings.Name); err != nil {
+	if err := d.adapter.Store.Delete(ctx, KindDaemons, d.settings.Name); err != nil {
 		d.log.Warn("failed to remove own entry", "err", err)
 	}
 }
@@ -102,7 +102,7 @@
 		d.link.AddMember(m)
 		if d.link.SilentFor(name) > deadDaemonTimeout && d.isResponsible(name, live) {
 			d.log.Info("removing entry of dead daemon", "daemon", name)
-			if err := d.adapter.Store.DeleteMember(ctx, name); err != nil {
+			if err := d.adapter.Store.Delete(ctx, KindDaemons, name); err != nil {
 				d.log.Warn("failed to remove entry of dead daemon", "daemon", name, "err", err)
 			}
 		}
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -58,9 +58,7 @@
 	for _, r := range p.GetReports() {
 		d.scheduler.Step(dispatch.ServerAlive{Now: now, Server: r.GetServer(), Slowdown: r.GetPace()})
 	}
-	for _, c := range p.GetCrashes() {
-		d.recordCrash(c, false)
-	}
+	d.crashes.recordPeer(p.GetCrashes(), p.GetSound(), p.GetVerdicts())
 	for _, delta := range p.GetDeltas() {
 		d.applyDelta(delta)
 	}
@@ -120,6 +118,7 @@
 func (d *Daemon) FillSummary(p *carobstilev1.EdgePacket) {
 	d.fillVersions(p)
 	d.scheduler.fillSummary(p, d.fullSummaryDue.Swap(false))
+	p.Verdicts = d.crashes.encodeVerdicts()
 }
 
 // MemberJoined implements neighbors.Handler.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -56,6 +55,11 @@
 			q.failUnplaced(err)
 			return
 		}
+		if q.blocked() { // the verdict may be newer than the arrival
+			q.h.Scheduler.RecordCancellation(id)
+			q.failBlocked()
+			return
+		}
 		result, answer := q.attempt(plan, id)
 		if answer != nil {
 			q.serverError = answer
@@ -86,8 +90,7 @@
 	if q.mayHaveRun && !q.route.RetryMode.Repeatable() {
 		return false
 	}
-	if q.h.CrashTracker.Blocked(q.fingerprint) {
-		q.reason = "request crashes the servers that run it"
+	if q.blocked() {
 		return false
 	}
 	if q.sendCount >= max(1, q.route.Attempts) {
@@ -159,6 +162,7 @@
 	defer release()
 	detector := q.newStallDetector(plan)
 	defer detector.stop()
+	defer q.h.pending.add(detector)()
 	resp, err := q.send(detector.ctx, plan, helpers)
 	if err != nil {
 		return q.handleSendError(detector, plan, id, err), nil
@@ -227,7 +231,7 @@
 	}
 	q.sendCount++
 	q.mayHaveRun = true
-	if q.ctx.Err() != nil {
+	if q.ctx.Err() != nil || detector.blocked() {
 		return outcomeRetry
 	}
 	if detector.stalled() || isTimeout(err) {
@@ -236,7 +240,7 @@
 	}
 	q.recordFault(plan, dispatch.FaultBroken)
 	if !errors.Is(err, upstream.ErrInvalidResponse) {
-		q.h.CrashTracker.RecordCrash(q.fingerprint, plan.Lead.ID)
+		q.h.CrashTracker.RecordBreak(q.traits, plan.Lead.Process())
 	}
 	return outcomeRetry
 }
@@ -251,8 +255,7 @@
 	q.h.Scheduler.RecordFailure(plan.Lead.ID, f)
 	q.h.Metrics.recordFailure(q.service, plan.Lead, f)
 	q.h.Log.Info(evlog.MessageFailed, evlog.KeyRequest, q.ID, "server", plan.Lead.ID, "fault", f, "reason", q.reason,
-		"begun", q.stream.eventCount > 0, "fingerprint", hex.EncodeToString([]byte(q.fingerprint)),
-		"parts", strings.Join(q.SharedParts, ","))
+		"begun", q.stream.eventCount > 0, "fingerprint", formatTrait(q.traits[0]), "parts", strings.Join(q.SharedParts, ","))
 }
 
 // handleResponse handles the response of a server from its header on.
@@ -272,6 +275,7 @@
 		// The caller already receives a stream, which the body of an error response cannot continue.
 		return q.failStream(plan, id, dispatch.FaultErrored, "server failed the continued stream"), nil
 	}
+	q.h.CrashTracker.RecordAnswer(q.traits)
 	return q.handleBuffered(plan, id, resp)
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -11,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/quarantine"
 	"github.com/carobstile/carobstile/internal/routing"
 	"github.com/carobstile/carobstile/internal/upstream"
 )
@@ -29,8 +28,6 @@
 	// retryAfterNoConfig is the Retry-After of a daemon without a configuration, which was started during an outage of
 	// the store. Outages last seconds, and callers retry only once or twice.
 	retryAfterNoConfig = 2 * time.Second
-	// retryAfterCrashes is the Retry-After for requests that crash servers; their crash records expire after an hour.
-	retryAfterCrashes = time.Hour
 	// defaultMaxBodyBytes bounds request bodies if the configuration sets no limit.
 	defaultMaxBodyBytes = 16 << 20
 )
@@ -55,6 +52,7 @@
 	// bufferedBytes counts the memory of the answers that are being buffered.
 	bufferedBytes atomic.Int64
 	logSampler    logRateLimiter
+	pending       pendingAttempts
 }
 
 // Drain makes the handler reject new requests.
@@ -66,19 +64,20 @@
 // request is the state of one caller's request.
 type request struct {
 	CallerHeaders
-	h           *Handler
-	w           http.ResponseWriter
-	r           *http.Request
-	ctx         context.Context
-	table       *routing.Table
-	route       *routing.Route
-	service     string
-	workspace   *routing.Workspace
-	body        []byte
-	fingerprint string
-	arrived     core.Micros
-	deadline    core.Micros
-	timeoutAt   time.Time
+	h         *Handler
+	w         http.ResponseWriter
+	r         *http.Request
+	ctx       context.Context
+	table     *routing.Table
+	route     *routing.Route
+	service   string
+	workspace *routing.Workspace
+	body      []byte
+	// traits are what the request has in common with others; the first one is that of its repetitions.
+	traits    []quarantine.Trait
+	arrived   core.Micros
+	deadline  core.Micros
+	timeoutAt time.Time
 	// sendCount counts the attempts that a server may have run; mayHaveRun is set after the first one.
 	sendCount       int
 	mayHaveRun      bool
@@ -133,9 +132,10 @@
 	}
 	q.service = q.route.Pick(rand.Float64())
 	q.setDeadline()
-	q.fingerprint = q.requestFingerprint()
-	if h.CrashTracker.Blocked(q.fingerprint) {
-		return q.rejectNotRun(http.StatusServiceUnavailable, retryAfterCrashes, "request crashes the servers that run it")
+	q.traits = q.requestTraits()
+	if q.blocked() {
+		q.failBlocked()
+		return false
 	}
 	h.Budget.CountRequest(q.service)
 	return true
@@ -199,18 +199,6 @@
 	q.timeoutAt = time.Now().Add(timeout - (q.h.Now() - q.arrived).Duration())
 }
 
-// requestFingerprint identifies repetitions of a request by hashing its method, host, path, key and body.
-func (q *request) requestFingerprint() string {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range []string{q.r.Method, q.r.Host, q.r.URL.Path, q.Key} {
-		_, _ = d.WriteString(part) // a Digest never returns an error
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(q.body)
-	return string(binary.BigEndian.AppendUint64(nil, d.Sum64()))
-}
-
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return (q.deadline - q.h.Now()).Duration() }
 
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -23,7 +23,11 @@
 	stallWaitShare = 0.8
 )
 
-var errStalled = errors.New("server made no progress")
+// Causes for which an attempt is cancelled.
+var (
+	errStalled = errors.New("server made no progress")
+	errBlocked = errors.New("request must not run")
+)
 
 // stallDetector cancels an attempt whose servers make no progress, if another server can still resume the stream.
 type stallDetector struct {
@@ -86,6 +90,9 @@
 // stalled reports whether the detector cancelled the attempt.
 func (d *stallDetector) stalled() bool { return errors.Is(context.Cause(d.ctx), errStalled) }
 
+// blocked reports whether the attempt was cancelled because the request must not run.
+func (d *stallDetector) blocked() bool { return errors.Is(context.Cause(d.ctx), errBlocked) }
+
 func (d *stallDetector) stop() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -44,11 +44,13 @@
 	for {
 		event, err := readEvent(reader)
 		if err != nil {
-			return q.handleStreamEnd(detector, plan, id, resp, event, err)
+			return q.handleStreamEnd(detector, plan, id, resp, event, err, !first)
 		}
 		detector.recordProgress()
 		if first {
 			first = false
+			q.h.pending.remove(detector)
+			q.h.CrashTracker.RecordAnswer(q.traits)
 			q.h.Scheduler.RecordFirstEvent(id)
 			q.recordFirstEvent()
 		}
@@ -169,10 +171,10 @@
 
 func (q *request) flush() bool { return http.NewResponseController(q.w).Flush() == nil }
 
-// handleStreamEnd handles the end of a server's stream; rest is what follows the last complete event, and err is the
-// error of the last read.
+// handleStreamEnd handles the end of a server's stream; rest is what follows the last complete event, err is the error of
+// the last read, and begun says that the server has sent an event.
 func (q *request) handleStreamEnd(
-	detector *stallDetector, plan dispatch.Plan, id uint64, resp *upstream.Response, rest []byte, err error,
+	detector *stallDetector, plan dispatch.Plan, id uint64, resp *upstream.Response, rest []byte, err error, begun bool,
 ) outcome {
 	if resp.Complete() && len(bytes.TrimSpace(rest)) == 0 {
 		q.h.Scheduler.RecordFinish(id)
@@ -188,13 +190,19 @@
 		}
 		return outcomeRetry
 	}
+	if detector.blocked() {
+		q.h.Scheduler.RecordCancellation(id)
+		return outcomeRetry
+	}
 	if detector.stalled() {
 		return q.failStream(plan, id, dispatch.FaultStalled, "stream stalled")
 	}
 	if errors.Is(err, upstream.ErrInvalidResponse) {
 		return q.failStream(plan, id, dispatch.FaultBroken, err.Error())
 	}
-	q.h.CrashTracker.RecordCrash(q.fingerprint, plan.Lead.ID)
+	if !begun {
+		q.h.CrashTracker.RecordBreak(q.traits, plan.Lead.Process())
+	}
 	return q.failStream(plan, id, dispatch.FaultBroken, "stream broke off")
 }
 
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/quarantine"
 )
 
 // CallerHeaders holds the parsed headers of a caller's request.
@@ -120,8 +121,11 @@
 
 // CrashTracker tracks requests that crash the servers that run them.
 type CrashTracker interface {
-	// Blocked reports whether a request must not be run again.
-	Blocked(fingerprint string) bool
-	// RecordCrash records that a server died while it ran the request.
-	RecordCrash(fingerprint, server string)
+	// Blocked returns the verdict by which a request with the given traits must not run, and for how long. It returns false if
+	// there is none.
+	Blocked(traits []quarantine.Trait) (v quarantine.Verdict, left time.Duration, blocked bool)
+	// RecordBreak records that a server's connection broke before the server began to answer a request.
+	RecordBreak(traits []quarantine.Trait, server dispatch.Process)
+	// RecordAnswer records that a server began to answer a request.
+	RecordAnswer(traits []quarantine.Trait)
 }
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -80,7 +80,8 @@
 	mu            sync.Mutex
 	self          *carobstilev1.EdgeMember
 	neighbors     map[string]*neighbor
-	pending       *carobstilev1.EdgePacket
+	pending       *carobstilev1.EdgePacket // for the neighbours in this cell
+	pendingForAll *carobstilev1.EdgePacket // for all other daemons; nil if empty
 	flushTimer    *time.Timer
 	flushAt       time.Time
 	summariesSent int
@@ -206,7 +207,7 @@
 	m := p.GetSender()
 	l.mu.Lock()
 	n := l.neighbors[m.GetName()]
-	if n == nil {
+	if n == nil || !l.inCell(n.member) {
 		l.mu.Unlock()
 		return
 	}
@@ -355,6 +356,22 @@
 	if urgent {
 		delay = urgentDelay
 	}
+	l.scheduleFlush(delay)
+}
+
+// BroadcastToAll adds content to the next datagram to all other daemons, in all cells, which is sent within urgentDelay.
+func (l *Link) BroadcastToAll(add func(p *carobstilev1.EdgePacket)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pendingForAll == nil {
+		l.pendingForAll = &carobstilev1.EdgePacket{}
+	}
+	add(l.pendingForAll)
+	l.scheduleFlush(urgentDelay)
+}
+
+// scheduleFlush makes sure that pending content is sent within delay. The caller holds mu.
+func (l *Link) scheduleFlush(delay time.Duration) {
 	flushAt := time.Now().Add(delay)
 	if l.flushTimer != nil && !flushAt.Before(l.flushAt) {
 		return
@@ -368,10 +385,15 @@
 
 func (l *Link) flush() {
 	l.mu.Lock()
-	p := l.pending
-	l.pending, l.flushTimer = &carobstilev1.EdgePacket{}, nil
+	p, forAll := l.pending, l.pendingForAll
+	l.pending, l.pendingForAll, l.flushTimer = &carobstilev1.EdgePacket{}, nil, nil
 	l.mu.Unlock()
-	l.send(p, false)
+	if proto.Size(p) > 0 {
+		l.send(p, func(n *neighbor) bool { return !n.away && l.inCell(n.member) })
+	}
+	if forAll != nil {
+		l.send(forAll, func(n *neighbor) bool { return !n.away || !l.inCell(n.member) })
+	}
 }
 
 func (l *Link) runSummaries(ctx context.Context) {
@@ -410,8 +432,9 @@
 	l.mu.Lock()
 	l.summariesSent++
 	all := l.summariesSent%summariesPerAwayProbe == 1
+	p.Sender = l.senderField(all)
 	l.mu.Unlock()
-	l.send(p, all)
+	l.send(p, func(n *neighbor) bool { return (all || !n.away) && l.inCell(n.member) })
 }
 
 // expireNeighbors marks neighbours as away after silenceTimeout and removes them after removalTimeout.
@@ -444,14 +467,16 @@
 	return now.Sub(n.lastNamed) > otherCellTimeout
 }
 
-// send sends a packet to the neighbours in this cell, in several datagrams if it is large. all includes neighbours that
-// are away.
-func (l *Link) send(p *carobstilev1.EdgePacket, all bool) {
+// send sends a packet to those neighbours that include selects, in several datagrams if it is large. include is called with
+// mu held.
+func (l *Link) send(p *carobstilev1.EdgePacket, include func(*neighbor) bool) {
 	l.mu.Lock()
-	p.Sender = l.senderField(all)
+	if p.GetSender() == nil {
+		p.Sender = l.senderField(false)
+	}
 	var to []recipient
 	for _, n := range l.neighbors {
-		if (all || !n.away) && l.inCell(n.member) {
+		if include(n) {
 			to = append(to, recipient{n.address, n.member.GetFailureDomain() != l.self.GetFailureDomain()})
 		}
 	}
--- a/internal/neighbors/split_test.go
+++ b/internal/neighbors/split_test.go
@@ -15,7 +15,9 @@
 	const count, limit = 900, 4000
 	p := &carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: "d"}, Summary: true, Active: []uint64{1, 2, 3}}
 	for i := range count {
-		p.Crashes = append(p.Crashes, &carobstilev1.EdgeCrash{Fingerprint: make([]byte, 16), Server: "s"})
+		p.Crashes = append(p.Crashes, &carobstilev1.EdgeCrash{Traits: []uint64{1, 2}, Server: "s"})
+		p.Sound = append(p.Sound, uint64(i))
+		p.Verdicts = append(p.Verdicts, &carobstilev1.EdgeVerdict{Traits: []uint64{uint64(i)}})
 		p.Ended = append(p.Ended, uint64(i))
 		p.Placed = append(p.Placed, &carobstilev1.EdgeJob{Id: uint64(i), Service: "engines"})
 	}
@@ -33,6 +35,8 @@
 	}
 	require.Equal(t, 1, summaries)
 	require.Len(t, merged.GetCrashes(), count)
+	require.Len(t, merged.GetSound(), count)
+	require.Len(t, merged.GetVerdicts(), count)
 	require.Len(t, merged.GetEnded(), count)
 	require.Len(t, merged.GetPlaced(), count)
 	require.Len(t, split(&carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: string(make([]byte, limit+1))}}, limit), 1,
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,418 @@
+// Package quarantine finds out which requests crash the servers that begin to answer them, and says which requests must
+// not run. Requests are compared by their traits: a hash of the request as a whole, and one of each part of its prompt that
+// other requests may share.
+//
+// When a server's connections break, the requests that it had not begun to answer are its suspects. A trait is blamed once
+// enough servers broke under requests that have it, none of which was ever answered, and its share of the traffic does not
+// explain how often it was there. What is blamed is the set of traits that all those requests have in common, so that a
+// sound trait that only came along is refused in that company alone. An answer that begins clears the traits of its
+// request, also after a verdict.
+//
+// Core is a reducer: it has no clock, goroutine or I/O. Daemons exchange what they observe and the verdicts that they
+// reach. Invariants:
+//
+//   - A trait that was cleared counts no earlier crash.
+//   - A request is refused only if it has all traits of a verdict in force.
+//   - A verdict that was lifted is not adopted again from a daemon or a store that has not heard of it.
+package quarantine
+
+import (
+	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+)
+
+const (
+	// minCrashes is the smallest number of crashes that can blame a trait.
+	minCrashes = 3
+	// maxChance is the largest probability that the traffic alone explains the crashes of a trait that is blamed. When a
+	// failure domain goes down, dozens of popular traits are judged at once.
+	maxChance = 2e-5
+	// rareShare is the share of the traffic that is assumed for a trait that was not seen among a few requests.
+	rareShare = 0.0133
+	// crashWindow is how long a broken connection of a server counts as the same crash. Servers take seconds to restart.
+	crashWindow = core.Second
+	// evidenceTTL is how long a crash counts.
+	evidenceTTL = 10 * core.Minute
+	// VerdictTTL is how long a verdict refuses requests. For as long after its end, a single crash puts it in force again.
+	VerdictTTL = 10 * core.Minute
+	// Bounds of the memory of a Core.
+	maxCrashes     = 128
+	maxSuspects    = 64 // of a crash
+	maxTraits      = 32 // of a request
+	maxVerdicts    = 256
+	recentRequests = 512
+)
+
+// Trait is a property that requests can share.
+type Trait uint64
+
+// PartTrait returns the trait of requests to a service that have a part of the prompt in common.
+func PartTrait(service, part string) Trait {
+	return newTrait([]byte("part"), []byte(service), []byte(part))
+}
+
+// RequestTrait returns the trait of repetitions of one request to a service: same method, host, path, key and body.
+func RequestTrait(service, method, host, path, key string, body []byte) Trait {
+	return newTrait([]byte("request"), []byte(service), []byte(method), []byte(host), []byte(path), []byte(key), body)
+}
+
+func newTrait(fields ...[]byte) Trait {
+	var d xxhash.Digest
+	d.Reset()
+	for _, f := range fields {
+		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(len(f)))) // a Digest never returns an error
+		_, _ = d.Write(f)
+	}
+	return Trait(d.Sum64())
+}
+
+// Verdict says that requests with all of some traits crash servers.
+type Verdict struct {
+	// Traits is sorted.
+	Traits []Trait
+	// Age is the time since the verdict was reached or renewed.
+	Age core.Micros
+}
+
+// crash is a break of a server's connections, with the traits of each request that the server had not begun to answer.
+type crash struct {
+	process  dispatch.Process
+	at       core.Micros
+	suspects [][]Trait
+}
+
+type verdict struct {
+	traits []Trait
+	made   core.Micros
+}
+
+func (v *verdict) public(now core.Micros) Verdict {
+	return Verdict{Traits: v.traits, Age: now - v.made}
+}
+
+func (v *verdict) inForce(now core.Micros) bool { return now < v.made+VerdictTTL }
+
+// Core holds what one daemon knows.
+type Core struct {
+	crashes []*crash // oldest first
+	// suspected counts the suspects and verdicts that have a trait.
+	suspected map[Trait]int
+	verdicts  []*verdict // oldest first
+	// lifted holds the time at which a verdict was lifted or narrowed, by the hash of its traits.
+	lifted map[Trait]core.Micros
+	// recent holds the traits of the newest requests that were answered, in a ring.
+	recent [][]Trait
+	next   int
+	out    []Effect
+}
+
+// New returns a Core that knows nothing.
+func New() *Core { return &Core{suspected: map[Trait]int{}, lifted: map[Trait]core.Micros{}} }
+
+// Step applies an event and returns the resulting effects, in order.
+func (c *Core) Step(ev Event) []Effect {
+	c.out = nil
+	switch e := ev.(type) {
+	case ServerBroke:
+		c.expire(e.Now)
+		if c.addSuspect(e.Now, e.Now, e.Process, e.Traits) {
+			c.emit(AnnounceSuspect{Process: e.Process, Traits: e.Traits})
+			c.judge(e.Now, e.Traits)
+		}
+	case PeerSawBreak:
+		c.expire(e.Now)
+		if c.addSuspect(e.Now, e.Now-max(0, e.Age), e.Process, e.Traits) {
+			c.judge(e.Now, e.Traits)
+		}
+	case AnswerBegan:
+		c.remember(e.Traits)
+		if sound := c.underSuspicion(e.Traits); len(sound) > 0 {
+			c.clear(e.Now, sound)
+			c.emit(AnnounceSound{Traits: sound})
+		}
+	case PeerSawAnswer:
+		c.clear(e.Now, c.underSuspicion(e.Traits))
+	case VerdictHeard:
+		c.adopt(e.Now, e.Verdict)
+	}
+	return c.out
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+// Blocked returns the verdict that refuses a request with the given traits for the longest time, and that time. It returns
+// false if there is none.
+func (c *Core) Blocked(now core.Micros, traits []Trait) (v Verdict, left core.Micros, blocked bool) {
+	for _, o := range c.verdicts {
+		if ends := o.made + VerdictTTL; ends > now+left && containsAll(traits, o.traits) {
+			v, left, blocked = o.public(now), ends-now, true
+		}
+	}
+	return v, left, blocked
+}
+
+// Suspect is a request that a process had not begun to answer when its connection broke.
+type Suspect struct {
+	Process dispatch.Process
+	Traits  []Trait
+	Age     core.Micros
+}
+
+// Suspects returns the suspects of all crashes that count, without the traits that were cleared.
+func (c *Core) Suspects(now core.Micros) []Suspect {
+	var out []Suspect
+	for _, r := range c.crashes {
+		for _, traits := range r.suspects {
+			if len(traits) > 0 {
+				out = append(out, Suspect{Process: r.process, Traits: slices.Clone(traits), Age: now - r.at})
+			}
+		}
+	}
+	return out
+}
+
+// Verdicts returns the verdicts in force, oldest first.
+func (c *Core) Verdicts(now core.Micros) []Verdict {
+	var out []Verdict
+	for _, v := range c.verdicts {
+		if v.inForce(now) {
+			out = append(out, v.public(now))
+		}
+	}
+	return out
+}
+
+// remember adds a request to the sample of the traffic.
+func (c *Core) remember(traits []Trait) {
+	if len(c.recent) < recentRequests {
+		c.recent = append(c.recent, traits)
+		return
+	}
+	c.recent[c.next] = traits
+	c.next = (c.next + 1) % recentRequests
+}
+
+// share returns an upper estimate of the share of the traffic that has a trait, from a sample of recent requests.
+func (c *Core) share(t Trait) float64 {
+	count := 0.0
+	for _, traits := range c.recent {
+		if slices.Contains(traits, t) {
+			count++
+		}
+	}
+	size := float64(max(1, len(c.recent)))
+	if count == 0 {
+		return min(rareShare, 2/size)
+	}
+	return (count + 2*math.Sqrt(count)) / size
+}
+
+// underSuspicion returns those of the traits that a suspect or a verdict has.
+func (c *Core) underSuspicion(traits []Trait) []Trait {
+	var out []Trait
+	for _, t := range traits {
+		if c.suspected[t] > 0 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func (c *Core) count(traits []Trait, by int) {
+	for _, t := range traits {
+		if c.suspected[t] += by; c.suspected[t] <= 0 {
+			delete(c.suspected, t)
+		}
+	}
+}
+
+// addSuspect records that a process broke at a time before it began to answer a request. It reports false if that is too
+// long ago, known already or explained by a verdict.
+func (c *Core) addSuspect(now, at core.Micros, p dispatch.Process, traits []Trait) bool {
+	if len(traits) == 0 || len(traits) > maxTraits || at+evidenceTTL <= now {
+		return false
+	}
+	for _, v := range c.verdicts {
+		if containsAll(traits, v.traits) {
+			if !v.inForce(now) {
+				v.made = now
+				c.emit(VerdictReached{Verdict: v.public(now)})
+			}
+			return false
+		}
+	}
+	found := c.findCrash(at, p)
+	known := slices.ContainsFunc(found.suspects, func(s []Trait) bool { return slices.Equal(s, traits) })
+	if known || len(found.suspects) >= maxSuspects {
+		return false
+	}
+	found.suspects = append(found.suspects, slices.Clone(traits))
+	c.count(traits, 1)
+	if len(c.crashes) > maxCrashes {
+		c.dropCrash(0)
+	}
+	return true
+}
+
+// findCrash returns the crash of a process at a time, and adds it if it is new.
+func (c *Core) findCrash(at core.Micros, p dispatch.Process) *crash {
+	i := len(c.crashes)
+	for n, r := range slices.Backward(c.crashes) {
+		if r.process == p && max(at-r.at, r.at-at) < crashWindow {
+			return r
+		}
+		if r.at > at {
+			i = n
+		}
+	}
+	found := &crash{process: p, at: at}
+	c.crashes = slices.Insert(c.crashes, i, found)
+	return found
+}
+
+func (c *Core) dropCrash(i int) {
+	for _, traits := range c.crashes[i].suspects {
+		c.count(traits, -1)
+	}
+	c.crashes = slices.Delete(c.crashes, i, i+1)
+}
+
+// expire drops crashes and verdicts that are too old to count.
+func (c *Core) expire(now core.Micros) {
+	for len(c.crashes) > 0 && c.crashes[0].at+evidenceTTL <= now {
+		c.dropCrash(0)
+	}
+	c.verdicts = slices.DeleteFunc(c.verdicts, func(v *verdict) bool {
+		expired := v.made+2*VerdictTTL <= now
+		if expired {
+			c.count(v.traits, -1)
+		}
+		return expired
+	})
+	maps.DeleteFunc(c.lifted, func(_ Trait, at core.Micros) bool { return at+2*VerdictTTL <= now })
+}
+
+// clear removes traits of a request that was answered from all suspects and verdicts. A trait crashes servers whatever
+// else a request has, so that each trait of an answered request is sound.
+func (c *Core) clear(now core.Micros, sound []Trait) {
+	if len(sound) == 0 {
+		return
+	}
+	isSound := func(t Trait) bool { return slices.Contains(sound, t) }
+	for i := len(c.crashes) - 1; i >= 0; i-- {
+		r := c.crashes[i]
+		for n := range r.suspects {
+			r.suspects[n] = slices.DeleteFunc(r.suspects[n], isSound)
+		}
+	}
+	for _, t := range sound {
+		delete(c.suspected, t)
+	}
+	for _, v := range slices.Clone(c.verdicts) {
+		if slices.Contains(c.verdicts, v) && slices.ContainsFunc(v.traits, isSound) {
+			c.narrow(now, v, isSound)
+		}
+	}
+}
+
+// narrow removes sound traits from a verdict, and lifts it if no other remains.
+func (c *Core) narrow(now core.Micros, v *verdict, isSound func(Trait) bool) {
+	c.lifted[hash(v.traits)] = now
+	c.emit(VerdictLifted{Verdict: v.public(now)})
+	v.traits = slices.DeleteFunc(slices.Clone(v.traits), isSound)
+	if len(v.traits) == 0 {
+		c.verdicts = slices.DeleteFunc(c.verdicts, func(o *verdict) bool { return o == v })
+		return
+	}
+	c.dropWider(v)
+	if v.inForce(now) {
+		c.emit(VerdictReached{Verdict: v.public(now)})
+	}
+}
+
+// adopt applies a verdict of another daemon or of the store.
+func (c *Core) adopt(now core.Micros, heard Verdict) {
+	made := now - max(0, heard.Age)
+	if len(heard.Traits) == 0 || len(heard.Traits) > maxTraits || made+VerdictTTL <= now {
+		return
+	}
+	if at, ok := c.lifted[hash(heard.Traits)]; ok && made <= at {
+		c.emit(AnnounceSound{Traits: c.soundOf(heard.Traits)})
+		return
+	}
+	for _, v := range c.verdicts {
+		if slices.Equal(v.traits, heard.Traits) {
+			v.made = max(v.made, made)
+			return
+		}
+	}
+	c.convict(made, heard.Traits)
+	c.emit(VerdictAdopted{Verdict: heard})
+}
+
+// soundOf returns the traits of a lifted verdict that no suspect or verdict has.
+func (c *Core) soundOf(traits []Trait) []Trait {
+	var out []Trait
+	for _, t := range traits {
+		if c.suspected[t] == 0 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// convict puts a verdict in force and drops the crashes that it explains.
+func (c *Core) convict(made core.Micros, traits []Trait) {
+	v := &verdict{traits: traits, made: made}
+	c.verdicts = append(c.verdicts, v)
+	c.count(traits, 1)
+	if len(c.verdicts) > maxVerdicts {
+		c.count(c.verdicts[0].traits, -1)
+		c.verdicts = slices.Delete(c.verdicts, 0, 1)
+	}
+	c.dropWider(v)
+	for i := len(c.crashes) - 1; i >= 0; i-- {
+		if slices.ContainsFunc(c.crashes[i].suspects, func(s []Trait) bool { return containsAll(s, traits) }) {
+			c.dropCrash(i)
+		}
+	}
+}
+
+// dropWider drops the verdicts that say no more than v does.
+func (c *Core) dropWider(v *verdict) {
+	c.verdicts = slices.DeleteFunc(c.verdicts, func(o *verdict) bool {
+		wider := o != v && containsAll(o.traits, v.traits)
+		if wider {
+			c.count(o.traits, -1)
+		}
+		return wider
+	})
+}
+
+func containsAll(list, wanted []Trait) bool {
+	for _, t := range wanted {
+		if !slices.Contains(list, t) {
+			return false
+		}
+	}
+	return true
+}
+
+// hash identifies a sorted set of traits.
+func hash(traits []Trait) Trait {
+	var data []byte
+	for _, t := range traits {
+		data = binary.BigEndian.AppendUint64(data, uint64(t))
+	}
+	return Trait(xxhash.Sum64(data))
+}
+
+// Key returns a name for the set of traits of a verdict.
+func (v Verdict) Key() uint64 { return uint64(hash(v.Traits)) }
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,234 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/golden"
+)
+
+func process(n int) dispatch.Process { return dispatch.Process{ID: fmt.Sprint("s", n)} }
+
+// blockedBy reports whether a request with the traits must not run.
+func blockedBy(c *Core, now core.Micros, traits ...Trait) bool {
+	_, _, blocked := c.Blocked(now, traits)
+	return blocked
+}
+
+// Guards against culprits that are not found because no two of them are alike, and against a sound trait that is refused
+// because it came along with the deadly one.
+func TestTraitInCommonIsBlamed(t *testing.T) {
+	const deadly = 7
+	c := New()
+	for n := range minCrashes {
+		require.False(t, blockedBy(c, 1, deadly))
+		c.Step(ServerBroke{Now: core.Micros(n + 1), Process: process(n), Traits: []Trait{Trait(100 + n), 1, deadly}})
+	}
+	require.True(t, blockedBy(c, 10, 200, 1, deadly))
+	require.False(t, blockedBy(c, 10, 200, 1), "a sound trait alone")
+	require.False(t, blockedBy(c, 10, 200, 2, deadly), "not known yet to be deadly without the other trait")
+	c.Step(AnswerBegan{Now: 11, Traits: []Trait{201, 1}})
+	require.True(t, blockedBy(c, 12, 202, 2, deadly), "the other trait was cleared")
+	require.False(t, blockedBy(c, 12+VerdictTTL, 202, 2, deadly))
+}
+
+// Guards against a false verdict that stays, and against one that comes back from a daemon that has not heard of its end.
+func TestAnsweredRequestLiftsVerdict(t *testing.T) {
+	c := New()
+	v := Verdict{Traits: []Trait{1, 2}}
+	require.Equal(t, []Effect{VerdictAdopted{v}}, c.Step(VerdictHeard{Now: core.Second, Verdict: v}))
+	require.True(t, blockedBy(c, core.Second, 1, 2, 3))
+	effects := c.Step(AnswerBegan{Now: 2 * core.Second, Traits: []Trait{1, 2, 3}})
+	require.Equal(t, []Effect{VerdictLifted{Verdict{Traits: v.Traits, Age: core.Second}}, AnnounceSound{[]Trait{1, 2}}}, effects)
+	require.False(t, blockedBy(c, 2*core.Second, 1, 2, 3))
+	v.Age = 2 * core.Second
+	require.Equal(t, []Effect{AnnounceSound{[]Trait{1, 2}}}, c.Step(VerdictHeard{Now: 3 * core.Second, Verdict: v}))
+	require.False(t, blockedBy(c, 3*core.Second, 1, 2, 3))
+	v.Age = 0
+	c.Step(VerdictHeard{Now: 4 * core.Second, Verdict: v})
+	require.True(t, blockedBy(c, 4*core.Second, 1, 2, 3), "a newer verdict")
+}
+
+// Guards against a trait that has to crash several servers again each time its verdict ends.
+func TestCrashAfterVerdictRenewsIt(t *testing.T) {
+	c := New()
+	c.Step(VerdictHeard{Now: 1, Verdict: Verdict{Traits: []Trait{1}}})
+	now := VerdictTTL + core.Second
+	require.False(t, blockedBy(c, now, 1))
+	require.Equal(t, []Effect{VerdictReached{Verdict: Verdict{Traits: []Trait{1}}}},
+		c.Step(ServerBroke{Now: now, Process: process(1), Traits: []Trait{1, 2}}))
+	require.True(t, blockedBy(c, now, 1))
+}
+
+// Guards against records and verdicts that outlive their time or their bounds.
+func TestMemoryIsBounded(t *testing.T) {
+	c := New()
+	for n := range 10 * maxCrashes {
+		now := core.Micros(n) * core.Millisecond
+		c.Step(PeerSawBreak{Now: now, Process: process(n), Traits: []Trait{Trait(2 * n), Trait(2*n + 1)}})
+		c.Step(VerdictHeard{Now: now, Verdict: Verdict{Traits: []Trait{Trait(1e6 + n)}}})
+		c.Step(AnswerBegan{Now: now, Traits: []Trait{Trait(2e6 + n)}})
+	}
+	require.LessOrEqual(t, len(c.crashes), maxCrashes)
+	require.LessOrEqual(t, len(c.verdicts), maxVerdicts)
+	require.LessOrEqual(t, len(c.recent), recentRequests)
+	c.Step(PeerSawBreak{Now: core.Hour, Process: process(1), Traits: []Trait{1}})
+	require.Len(t, c.crashes, 1)
+	require.Empty(t, c.verdicts)
+	require.Empty(t, c.Step(PeerSawBreak{Now: core.Hour, Process: process(2), Traits: make([]Trait, 1000)}))
+	require.Len(t, c.crashes, 1)
+}
+
+// traffic draws requests that share popular first parts.
+type traffic struct {
+	random *rand.Rand
+	last   Trait
+}
+
+const popularTraits = 60
+
+// request returns the traits of a request: one of its own, a popular one, and the extra ones.
+func (f *traffic) request(extra ...Trait) []Trait {
+	f.last++
+	popular := Trait(f.random.IntN(popularTraits) * f.random.IntN(popularTraits) / popularTraits) // the first ones are drawn most
+	return append([]Trait{1e9 + f.last, popular}, extra...)
+}
+
+// Guards against popular traits that are refused because many servers are lost at once while they run requests.
+func TestOutageBlamesNoPopularTrait(t *testing.T) {
+	const seeds, servers, allowed = 300, 60, 3
+	convicted := 0
+	for seed := range uint64(seeds) {
+		f := traffic{random: rand.New(rand.NewPCG(seed, 1))}
+		c := New()
+		for range recentRequests {
+			c.Step(AnswerBegan{Now: 1, Traits: f.request()})
+		}
+		reached := false
+		for n := range servers {
+			for range f.random.IntN(4) {
+				for _, e := range c.Step(ServerBroke{Now: core.Second + core.Micros(n), Process: process(n), Traits: f.request()}) {
+					_, verdict := e.(VerdictReached)
+					reached = reached || verdict
+				}
+			}
+		}
+		if reached {
+			convicted++
+		}
+	}
+	require.LessOrEqual(t, convicted, allowed, "of %d outages of %d servers", seeds, servers)
+}
+
+// Guards against a deadly trait that is not found, or not in time, beside servers that break for other reasons.
+func TestDeadlyTraitIsFoundBesideOtherCrashes(t *testing.T) {
+	const seeds, allowedCrashes, deadly = 200, 8, Trait(5e9)
+	for seed := range uint64(seeds) {
+		f := traffic{random: rand.New(rand.NewPCG(seed, 2))}
+		c := New()
+		for range 50 {
+			c.Step(AnswerBegan{Now: 1, Traits: f.request()})
+		}
+		now, crashes := core.Second, 0
+		for n := 0; !blockedBy(c, now, f.request(deadly)...); n++ {
+			now += 100 * core.Millisecond
+			c.Step(AnswerBegan{Now: now, Traits: f.request()})
+			if f.random.IntN(3) > 0 { // a crash for reasons of its own
+				c.Step(ServerBroke{Now: now, Process: process(2 * n), Traits: f.request()})
+				continue
+			}
+			crashes++
+			require.LessOrEqual(t, crashes, allowedCrashes, "seed %d", seed)
+			for range f.random.IntN(2) { // a request that shares the server with the culprit
+				c.Step(ServerBroke{Now: now, Process: process(2*n + 1), Traits: f.request()})
+			}
+			c.Step(ServerBroke{Now: now, Process: process(2*n + 1), Traits: f.request(deadly)})
+		}
+		for p := range Trait(popularTraits) {
+			require.False(t, blockedBy(c, now, 1, p), "seed %d, sound trait %d", seed, p)
+		}
+	}
+}
+
+// Guards against counts of suspected traits that differ from what is suspected, for any order of events, and against a
+// request that is refused although it lacks a trait of each verdict.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		now := core.Micros(0)
+		traits := rapid.Custom(func(t *rapid.T) []Trait {
+			out := rapid.SliceOfNDistinct(rapid.Uint64Range(0, 6), 1, 4, rapid.ID[uint64]).Draw(t, "traits")
+			list := make([]Trait, len(out))
+			for i, v := range out {
+				list[i] = Trait(v)
+			}
+			slices.Sort(list)
+			return list
+		})
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += core.Micros(rapid.Int64Range(0, int64(core.Minute)).Draw(t, "pause"))
+			list := traits.Draw(t, "list")
+			age := core.Micros(rapid.Int64Range(-1, int64(VerdictTTL)).Draw(t, "age"))
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				c.Step(ServerBroke{Now: now, Process: process(rapid.IntRange(0, 3).Draw(t, "server")), Traits: list})
+			case 1:
+				c.Step(PeerSawBreak{Now: now, Process: process(rapid.IntRange(0, 3).Draw(t, "server")), Traits: list, Age: age})
+			case 2:
+				c.Step(AnswerBegan{Now: now, Traits: list})
+				require.Empty(t, c.underSuspicion(list))
+			case 3:
+				c.Step(PeerSawAnswer{Now: now, Traits: list})
+			case 4:
+				c.Step(VerdictHeard{Now: now, Verdict: Verdict{Traits: list, Age: age}})
+			}
+			requireCounts(t, c)
+			if v, left, blocked := c.Blocked(now, list); blocked {
+				require.Positive(t, left)
+				require.True(t, containsAll(list, v.Traits))
+			}
+		}
+	})
+}
+
+// requireCounts checks suspected, and that the crashes are in order.
+func requireCounts(t *rapid.T, c *Core) {
+	want := map[Trait]int{}
+	for _, r := range c.crashes {
+		for _, s := range r.suspects {
+			for _, trait := range s {
+				want[trait]++
+			}
+		}
+	}
+	for _, v := range c.verdicts {
+		for _, trait := range v.traits {
+			want[trait]++
+		}
+	}
+	require.Equal(t, want, c.suspected)
+	require.True(t, slices.IsSortedFunc(c.crashes, func(a, b *crash) int { return int(a.at - b.at) }))
+}
+
+func TestSessions(t *testing.T) {
+	codec := golden.NewCodec(
+		ServerBroke{}, PeerSawBreak{}, AnswerBegan{}, PeerSawAnswer{}, VerdictHeard{},
+		AnnounceSuspect{}, AnnounceSound{}, VerdictReached{}, VerdictAdopted{}, VerdictLifted{})
+	golden.Check(t, "testdata/*.session", codec, func(string) func(any) []any {
+		c := New()
+		return func(event any) []any {
+			var out []any
+			for _, e := range c.Step(event.(Event)) {
+				out = append(out, e)
+			}
+			return out
+		}
+	})
+}
