edge: read the verdicts in the store before the first configuration takes effect

Cause: the two reads were independent of each other. Now a daemon that gets its first configuration from the store reads the verdicts first, for 400 ms at most, and passes them to its neighbours; a daemon that takes the configuration from a neighbour gets the verdicts with it. Ruled out: a verdict that was not saved (all daemons took it at 15.5 s).

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -24,8 +24,9 @@
 const (
 	// verdictSaveInterval is how often the verdicts in the store are compared with those in force.
 	verdictSaveInterval = 500 * time.Millisecond
-	// verdictLoadRetry is the pause after a failed read of the verdicts in the store.
-	verdictLoadRetry = 500 * time.Millisecond
+	// verdictLoadTimeout bounds a read of the verdicts in the store, and verdictLoadRetry is the pause after a failed one.
+	verdictLoadTimeout = 400 * time.Millisecond
+	verdictLoadRetry   = time.Second
 	// verdictWriters is the number of daemons that write a verdict to the store. There are two in case one of them dies.
 	verdictWriters = 2
 )
@@ -195,22 +196,31 @@
 	MadeAt int64 `json:"madeAt"`
 }
 
-// loadVerdicts reads the verdicts in the store once. Daemons that restart together have no neighbour that knows them.
-func (d *Daemon) loadVerdicts(ctx context.Context) {
-	for {
-		image, err := d.adapter.Store.List(ctx, KindVerdicts)
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
-			for name, o := range image.Objects {
-				d.adoptStoredVerdict(name, o.Value)
-			}
-			return
-		}
-		d.log.Info("failed to read verdicts", "err", err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(verdictLoadRetry):
+// retryVerdicts reads the verdicts in the store until it has succeeded once. A daemon that cannot reach the store may hear of
+// them from its neighbours meanwhile.
+func (d *Daemon) retryVerdicts(ctx context.Context) {
+	shell.Every(ctx, verdictLoadRetry, func(ctx context.Context) {
+		if !d.verdictsLoaded.Load() && (d.probesOutage() || !d.storeFailing()) {
+			d.loadVerdicts(ctx)
 		}
+	})
+}
+
+// loadVerdicts reads the verdicts in the store, and sends them to the neighbours, which may have failed to read them.
+func (d *Daemon) loadVerdicts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, verdictLoadTimeout)
+	defer cancel()
+	image, err := d.adapter.Store.List(ctx, KindVerdicts)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		d.log.Info("failed to read verdicts", "err", err.Error())
+		return
+	}
+	d.verdictsLoaded.Store(true)
+	for name, o := range image.Objects {
+		d.adoptStoredVerdict(name, o.Value)
+	}
+	if verdicts := d.crashes.encodeVerdicts(); len(verdicts) > 0 {
+		d.link.Broadcast(true, func(p *carobstilev1.EdgePacket) { p.Verdicts = append(p.Verdicts, verdicts...) })
 	}
 }
 
@@ -220,7 +230,7 @@
 	}
 	v, err := decodeStoredVerdict(value, time.Now())
 	if err != nil {
-		d.log.Warn("failed to decode verdict", "name", name, "err", err)
+		d.log.Warn("failed to decode verdict", "name", name, "err", err.Error())
 		return
 	}
 	d.crashes.step(quarantine.VerdictHeard{Now: d.now(), Verdict: v})
@@ -289,7 +299,7 @@
 		err = d.adapter.Store.Put(ctx, KindVerdicts, verdictName(v.Key()), value)
 	}
 	if err != nil {
-		d.log.Warn("failed to save verdict", "traits", formatTraits(v.Traits), "err", err)
+		d.log.Warn("failed to save verdict", "traits", formatTraits(v.Traits), "err", err.Error())
 	}
 	return err == nil
 }
@@ -297,7 +307,7 @@
 func (d *Daemon) deleteVerdict(ctx context.Context, key uint64) bool {
 	err := d.adapter.Store.Delete(ctx, KindVerdicts, verdictName(key))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		d.log.Warn("failed to delete verdict", "name", verdictName(key), "err", err)
+		d.log.Warn("failed to delete verdict", "name", verdictName(key), "err", err.Error())
 		return false
 	}
 	return true
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -68,6 +68,8 @@
 	fetchScheduled atomic.Bool
 	draining       atomic.Bool
 	drained        chan struct{}
+	// verdictsLoaded is set once the verdicts in the store have been read.
+	verdictsLoaded atomic.Bool
 	// ownEntryMu serializes the writes and the removal of this daemon's entry in the store.
 	ownEntryMu sync.Mutex
 }
@@ -124,20 +126,24 @@
 	}
 	for _, f := range []func(context.Context){
 		d.config.Run, d.serverEntries.Run, d.link.Run, d.maintainMembership, d.pollReports, d.housekeep, d.bootstrap,
-		d.publishGauges, d.loadVerdicts, d.saveVerdicts,
+		d.publishGauges, d.retryVerdicts, d.saveVerdicts,
 	} {
 		env.Background(f)
 	}
 	return nil
 }
 
-// configChanged applies a newer configuration and sends its version to the neighbours.
-func (d *Daemon) configChanged(image directory.Image, _ bool) {
+// configChanged applies a newer configuration and sends its version to the neighbours. outage says that the store has just
+// returned from an outage.
+func (d *Daemon) configChanged(image directory.Image, outage bool) {
 	o, ok := image.Objects[d.adapter.Codec.ConfigName()]
 	if !ok {
 		d.log.Warn("store holds no configuration", "revision", image.Revision)
 		return
 	}
+	if d.table.Load() == nil && (outage || !d.config.Failing()) {
+		d.loadVerdicts(context.Background()) // requests are forwarded from the first configuration on
+	}
 	if !d.adoptConfig(o) {
 		return
 	}
