Log the limits that servers name, and count the sends to each server

The adapter decodes the limit into the notice of a server; an answer without one ends it, if the request was sent after it was last named. No decision uses it yet.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -101,6 +101,8 @@
 		c.serverAlive(e)
 	case ServerNotice:
 		c.serverNotice(e)
+	case ServerAnswered:
+		c.serverAnswered(e)
 	case DaemonCountChanged:
 		c.daemons = max(1, e.Count)
 	case Tick:
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -52,6 +52,13 @@
 		Process Process
 		Notice  Notice
 	}
+	// ServerAnswered reports what a process said about itself in the answer to a request that this daemon sent at Sent.
+	ServerAnswered struct {
+		Now     core.Micros
+		Process Process
+		Sent    core.Micros
+		Notice  Notice
+	}
 	// PeerSawLeaving reports that a process told a peer that it is leaving.
 	PeerSawLeaving struct {
 		Now     core.Micros
@@ -102,6 +109,7 @@
 func (ServerFailed) event()       {}
 func (ServerAlive) event()        {}
 func (ServerNotice) event()       {}
+func (ServerAnswered) event()     {}
 func (PeerSawLeaving) event()     {}
 func (PeerPlaced) event()         {}
 func (PeerFirst) event()          {}
@@ -147,6 +155,12 @@
 		Process Process
 		Text    string
 	}
+	// LimitChanged reports that a process has named a limit of requests a second, or names none any more.
+	LimitChanged struct {
+		Process   Process
+		Named     bool
+		PerSecond float64
+	}
 	// SetTimer requests a Tick at the given time; a later SetTimer replaces it.
 	SetTimer struct {
 		At core.Micros
@@ -160,4 +174,5 @@
 func (AnnounceEnd) effect()     {}
 func (AnnounceLeaving) effect() {}
 func (PauseStarted) effect()    {}
+func (LimitChanged) effect()    {}
 func (SetTimer) effect()        {}
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -33,6 +33,9 @@
 	// sent, for the log.
 	PauseFor  time.Duration
 	PauseText string
+	// LimitPerSecond is how many requests a second the process takes from all daemons together, if LimitNamed is set.
+	LimitNamed     bool    `json:",omitempty"`
+	LimitPerSecond float64 `json:",omitempty"`
 }
 
 // Empty reports whether the notice says nothing.
@@ -47,6 +50,15 @@
 	// direct is set if it said so to this daemon.
 	direct  bool
 	pause   pause
+	limit   limit
+	heardAt core.Micros
+}
+
+// limit is how many requests a second a process takes from all daemons together.
+type limit struct {
+	named     bool
+	perSecond float64
+	// heardAt is when the process last named it.
 	heardAt core.Micros
 }
 
@@ -135,9 +147,29 @@
 		}
 		st.pause.extend(e.Now, core.FromDuration(e.Notice.PauseFor))
 	}
+	if e.Notice.LimitNamed {
+		c.limitNamed(e.Now, st, e.Notice.LimitPerSecond)
+	}
 	c.attachStanding(e.Process, st)
 }
 
+// serverAnswered applies the answer to a request. One that names no limit ends the limit, if the request was sent after the
+// process last named it: answers on different connections may overtake each other.
+func (c *Core) serverAnswered(e ServerAnswered) {
+	if st := c.standings[e.Process]; st != nil && st.limit.named && !e.Notice.LimitNamed && e.Sent > st.limit.heardAt {
+		st.limit = limit{}
+		c.emit(LimitChanged{Process: e.Process})
+	}
+}
+
+func (c *Core) limitNamed(now core.Micros, st *standing, perSecond float64) {
+	changed := !st.limit.named || st.limit.perSecond != perSecond
+	st.limit = limit{named: true, perSecond: perSecond, heardAt: now}
+	if changed {
+		c.emit(LimitChanged{Process: st.process, Named: true, PerSecond: perSecond})
+	}
+}
+
 // peerSawLeaving applies a neighbour's report that a process is leaving.
 func (c *Core) peerSawLeaving(e PeerSawLeaving) {
 	st := c.standings.update(e.Now, e.Process)
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -102,6 +102,11 @@
 	return s.core.Accepts(s.now(), p)
 }
 
+// RecordAnswer implements forward.Scheduler.
+func (s *scheduler) RecordAnswer(p dispatch.Process, sent core.Micros, n dispatch.Notice) {
+	s.Step(dispatch.ServerAnswered{Now: s.now(), Process: p, Sent: sent, Notice: n})
+}
+
 // Accepts reports whether a process may receive something new from this daemon now.
 func (s *scheduler) Accepts(p dispatch.Process) bool {
 	s.mu.Lock()
@@ -166,6 +171,8 @@
 		case dispatch.AnnounceEnd:
 			delete(s.ownJobs, e.ID)
 			s.broadcast(false, func(p *carobstilev1.EdgePacket) { p.Ended = append(p.Ended, e.ID) })
+		case dispatch.LimitChanged:
+			s.log.Info("server limits its requests", "server", e.Process.ID, "limited", e.Named, "per_second", e.PerSecond)
 		case dispatch.PauseStarted:
 			s.log.Info("server asked for a pause", "server", e.Process.ID, "retry_after", e.Text)
 		case dispatch.AnnounceLeaving:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -206,6 +206,7 @@
 			return q.h.Scheduler.RecordNotice(plan.Lead.Process(), q.h.HeaderCodec.Notice(status, h))
 		},
 	}
+	q.h.Metrics.recordSend(q.service, plan.Lead)
 	return q.h.Pool.Send(ctx, upstream.Target{ID: plan.Lead.ID, Address: plan.Lead.Address}, r)
 }
 
@@ -263,6 +264,10 @@
 	detector *stallDetector, plan dispatch.Plan, id uint64, resp *upstream.Response,
 ) (outcome, *bufferedAnswer) {
 	a := q.h.HeaderCodec.Answer(resp.Status, resp.Header)
+	if !a.OtherServer {
+		sent := q.placements[len(q.placements)-1].at
+		q.h.Scheduler.RecordAnswer(plan.Lead.Process(), sent, q.h.HeaderCodec.Notice(resp.Status, resp.Header))
+	}
 	if a.NotRun || a.OtherServer {
 		return q.handleNotRun(plan, id, a), nil
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -21,6 +21,7 @@
 	mu          sync.Mutex
 	requests    map[requestLabels]requestMetrics
 	firstEvents map[string]tally.Histogram
+	sends       map[string]tally.Counter // by server
 }
 
 type requestLabels struct {
@@ -37,7 +38,7 @@
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
 		scope: scope, notLogged: scope.Counter("requests_not_logged"), requests: map[requestLabels]requestMetrics{},
-		firstEvents: map[string]tally.Histogram{},
+		firstEvents: map[string]tally.Histogram{}, sends: map[string]tally.Counter{},
 	}
 }
 
@@ -86,6 +87,20 @@
 	return q.route.RetryMode.String()
 }
 
+// recordSend counts an attempt to send a request to a server.
+func (m *Metrics) recordSend(service string, s dispatch.Server) {
+	m.mu.Lock()
+	c, ok := m.sends[s.ID]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"service": service, "server": s.ID, "domain": s.Domain}).Counter("server_sends")
+		if len(m.sends) < maxCachedLabels {
+			m.sends[s.ID] = c
+		}
+	}
+	m.mu.Unlock()
+	c.Inc(1)
+}
+
 func (m *Metrics) recordFailure(service string, s dispatch.Server, f dispatch.Fault) {
 	m.scope.Tagged(map[string]string{
 		"service": service, "server": s.ID, "domain": s.Domain, "reason": f.String(),
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/dispatch"
 	"github.com/carobstile/carobstile/internal/quarantine"
 )
@@ -90,6 +91,8 @@
 	// RecordNotice records what a server said about itself. It returns false if the server must not receive further
 	// requests for now.
 	RecordNotice(server dispatch.Process, n dispatch.Notice) bool
+	// RecordAnswer records what a server said about itself in the answer to a request that was sent at a time.
+	RecordAnswer(server dispatch.Process, sent core.Micros, n dispatch.Notice)
 	// Unreachable reports whether a server could not be reached and has not responded since.
 	Unreachable(server string) bool
 }
