dispatch: keep to the limit of requests a second that a server names

Cause: no decision used the limit. Ruled out: daemons that each keep to it while their sum does not (none did), and reports or repeats that count (no request was sent twice, and engines without a limit have as many reports).

Change: each daemon counts the requests of all daemons, which announce theirs, against one bucket a process. Cutting the limit into parts, the other way weighed, leaves 60 daemons less than a request each in 4 s, or gives each of them a first one at once. A reserve that differs by daemon and second keeps daemons that wait for the same place apart; what was sent beyond the limit is made up for. A limit and its end reach all daemons; an answer ends it only if its request was sent after it was last named. If all servers have used up their limits until a request is due, it is refused at once with the daemon's turn as Retry-After.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/carobstile/carobstile/internal/core"
 )
 
@@ -44,9 +46,14 @@
 	waiting      []*Work
 	prefillLoads prefillLoadList
 	standings    standings
-	daemons      int
-	timerAt      core.Micros
-	out          []Effect
+	// daemons is the number of daemons of this cell, allDaemons that of all cells.
+	daemons, allDaemons int
+	// seed distinguishes this daemon from others.
+	seed uint64
+	// ahead counts the waiting requests by service while they are evaluated.
+	ahead   map[string]int
+	timerAt core.Micros
+	out     []Effect
 }
 
 type service struct {
@@ -65,11 +72,11 @@
 	s.answerTime += core.Micros(answerTimeWeight * float64(took-s.answerTime))
 }
 
-// New returns the reducer of a daemon in the given failure domain.
-func New(domain string) *Core {
+// New returns the reducer of the daemon with the given name in the given failure domain.
+func New(domain, name string) *Core {
 	return &Core{
-		domain: domain, servers: map[string]*server{}, services: map[string]*service{}, jobs: map[uint64]*job{},
-		standings: standings{}, daemons: 1,
+		domain: domain, seed: xxhash.Sum64String(name), servers: map[string]*server{}, services: map[string]*service{},
+		jobs: map[uint64]*job{}, standings: standings{}, daemons: 1, ahead: map[string]int{},
 	}
 }
 
@@ -104,7 +111,7 @@
 	case ServerAnswered:
 		c.serverAnswered(e)
 	case DaemonCountChanged:
-		c.daemons = max(1, e.Count)
+		c.daemons, c.allDaemons = max(1, e.Count), e.Total
 	case Tick:
 		c.timerAt = 0
 		c.expirePeerJobs(e.Now)
@@ -128,6 +135,8 @@
 	switch e := ev.(type) {
 	case PeerSawLeaving:
 		c.peerSawLeaving(e)
+	case PeerSawLimit:
+		c.peerSawLimit(e)
 	case PeerPlaced:
 		c.peerPlaced(e)
 	case PeerFirst:
@@ -296,6 +305,7 @@
 			engines = append(engines, s)
 		}
 	}
+	lead.countSent(e.Now)
 	c.addJob(e.Now, j, engines)
 }
 
@@ -329,15 +339,23 @@
 	slices.SortStableFunc(c.waiting, func(a, b *Work) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.FirstEventDue, b.FirstEventDue), cmp.Compare(a.ID, b.ID))
 	})
-	c.waiting = slices.DeleteFunc(c.waiting, func(w *Work) bool { return c.assignOrRefuse(now, w) })
+	clear(c.ahead)
+	c.waiting = slices.DeleteFunc(c.waiting, func(w *Work) bool {
+		done := c.assignOrRefuse(now, w, c.ahead[w.Service])
+		if !done {
+			c.ahead[w.Service]++
+		}
+		return done
+	})
 	if len(c.waiting) > 0 && c.timerAt <= now {
 		c.timerAt = now + recheckInterval
 		c.emit(SetTimer{At: c.timerAt})
 	}
 }
 
-// assignOrRefuse reports whether the request was assigned or refused; otherwise it keeps waiting.
-func (c *Core) assignOrRefuse(now core.Micros, w *Work) bool {
+// assignOrRefuse reports whether the request was assigned or refused; otherwise it keeps waiting. ahead is the number of waiting
+// requests for the same service that come before it.
+func (c *Core) assignOrRefuse(now core.Micros, w *Work, ahead int) bool {
 	svc := c.services[w.Service]
 	if svc == nil {
 		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: "no server of the service is known"})
@@ -357,8 +375,7 @@
 		c.assign(now, w, o)
 		return true
 	}
-	if resume, paused := c.pausedUntil(now, w, svc); paused && resume >= min(w.FirstEventDue, w.AbandonAt, w.Deadline) {
-		c.emit(Refuse{ID: w.ID, RetryAfter: resume - now, Reason: "all servers of the service asked for a pause"})
+	if c.refuseInShortage(now, w, svc, ahead) {
 		return true
 	}
 	if o == nil && now-w.Arrived > w.longestWait() {
@@ -397,7 +414,7 @@
 	var healthy, suspects []*candidate
 	lossRate := queueLossRate(svc)
 	for _, s := range svc.servers {
-		if s.Leaving || !s.standing.admits(now) || slices.Contains(w.Exclude, s.ID) {
+		if s.Leaving || !s.standing.admits(now) || slices.Contains(w.Exclude, s.ID) || c.limitedAt(now, s) > now {
 			continue
 		}
 		cand := &candidate{
@@ -419,22 +436,6 @@
 	return suspects
 }
 
-// pausedUntil reports whether all servers that could receive the request have asked for a pause, and the earliest end.
-func (c *Core) pausedUntil(now core.Micros, w *Work, svc *service) (earliest core.Micros, paused bool) {
-	for _, s := range svc.servers {
-		if s.Leaving || slices.Contains(w.Exclude, s.ID) || s.standing != nil && s.standing.leaving {
-			continue
-		}
-		if s.standing == nil || !s.standing.pause.active(now) {
-			return 0, false
-		}
-		if until := s.standing.pause.until; !paused || until < earliest {
-			earliest, paused = until, true
-		}
-	}
-	return earliest, paused
-}
-
 // queueLossRate returns the loss for each millisecond by which the queue of an engine exceeds queueThresholdMs.
 func queueLossRate(svc *service) float64 {
 	benefit := 0.0
@@ -488,6 +489,7 @@
 		announced.Helpers = append(announced.Helpers, h.ID)
 	}
 	o.lead.standing.sent(w.ID)
+	o.lead.countSent(now)
 	for _, r := range o.reservations {
 		r.server.standing.sent(w.ID)
 	}
@@ -497,5 +499,6 @@
 	announced.Reservations = plan.Reservations
 	c.addJob(now, j, engines)
 	c.emit(Assign{ID: w.ID, Plan: plan})
-	c.emit(Announce{Job: announced})
+	svc := c.services[w.Service]
+	c.emit(Announce{Job: announced, ToAll: svc.Shared && o.lead.limited()})
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -23,7 +23,7 @@
 
 // newTestCore returns a core with n engines and m plain servers.
 func newTestCore(n, m int) *Core {
-	c := New("z1")
+	c := New("z1", "a")
 	c.Step(serversChangedEvent(n, m))
 	return c
 }
@@ -84,7 +84,7 @@
 
 // Guards against requests assigned to servers that are leaving, unknown or excluded.
 func TestOnlyEligibleServersAreAssigned(t *testing.T) {
-	c := New("z1")
+	c := New("z1", "a")
 	ev := serversChangedEvent(0, 3)
 	ev.Servers[0].Leaving = true
 	c.Step(ev)
@@ -299,7 +299,7 @@
 // Guards against unintended changes of the decisions in the recorded sessions.
 func TestSessions(t *testing.T) {
 	golden.Check(t, "testdata/*.session", codec(), func(string) func(any) []any {
-		c := New("z1")
+		c := New("z1", "a")
 		return func(event any) []any {
 			var out []any
 			for _, effect := range c.Step(event.(Event)) {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -64,6 +64,14 @@
 		Now     core.Micros
 		Process Process
 	}
+	// PeerSawLimit reports that a process named a limit of requests a second to a peer, or none any more, Age ago.
+	PeerSawLimit struct {
+		Now       core.Micros
+		Process   Process
+		Named     bool
+		PerSecond float64
+		Age       core.Micros
+	}
 	// PeerPlaced announces a job of a peer.
 	PeerPlaced struct {
 		Now  core.Micros
@@ -91,9 +99,9 @@
 		Now  core.Micros
 		Peer string
 	}
-	// DaemonCountChanged sets the number of daemons that assign requests to the same servers.
+	// DaemonCountChanged sets the number of daemons of this cell, and of all cells.
 	DaemonCountChanged struct {
-		Count int
+		Count, Total int
 	}
 	// Tick makes Core evaluate the waiting requests again and expire jobs of peers.
 	Tick struct {
@@ -111,6 +119,7 @@
 func (ServerNotice) event()       {}
 func (ServerAnswered) event()     {}
 func (PeerSawLeaving) event()     {}
+func (PeerSawLimit) event()       {}
 func (PeerPlaced) event()         {}
 func (PeerFirst) event()          {}
 func (PeerEnded) event()          {}
@@ -134,9 +143,10 @@
 		RetryAfter core.Micros
 		Reason     string
 	}
-	// Announce sends a new job to the peers.
+	// Announce sends a new job to the peers, and if ToAll is set to the daemons of all cells.
 	Announce struct {
-		Job Job
+		Job   Job
+		ToAll bool `json:",omitempty"`
 	}
 	// AnnounceFirst informs the peers that the prompt of a job has been prefilled.
 	AnnounceFirst struct {
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/ratelimit"
 )
 
 const (
@@ -58,8 +59,22 @@
 type limit struct {
 	named     bool
 	perSecond float64
-	// heardAt is when the process last named it.
+	// heardAt is when the process last named it, or was last known to name none.
 	heardAt core.Micros
+	// changedAt is when this daemon last saw a change for itself.
+	changedAt core.Micros
+	bucket    ratelimit.Bucket
+}
+
+// apply sets what the process has said at a time.
+func (l *limit) apply(now, heard core.Micros, named bool, perSecond float64) (changed bool) {
+	changed = l.named != named || named && l.perSecond != perSecond
+	if named && !l.named { // nothing is saved from before the limit
+		l.bucket = ratelimit.Bucket{}
+		l.bucket.SetRate(now, perSecond)
+	}
+	l.named, l.perSecond, l.heardAt = named, perSecond, heard
+	return changed
 }
 
 // admits reports whether the process may receive a request now. A process that has said nothing does.
@@ -148,7 +163,7 @@
 		st.pause.extend(e.Now, core.FromDuration(e.Notice.PauseFor))
 	}
 	if e.Notice.LimitNamed {
-		c.limitNamed(e.Now, st, e.Notice.LimitPerSecond)
+		c.limitHeard(e.Now, st, true, e.Notice.LimitPerSecond)
 	}
 	c.attachStanding(e.Process, st)
 }
@@ -157,17 +172,38 @@
 // process last named it: answers on different connections may overtake each other.
 func (c *Core) serverAnswered(e ServerAnswered) {
 	if st := c.standings[e.Process]; st != nil && st.limit.named && !e.Notice.LimitNamed && e.Sent > st.limit.heardAt {
-		st.limit = limit{}
-		c.emit(LimitChanged{Process: e.Process})
+		c.limitHeard(e.Now, st, false, 0)
+	}
+}
+
+// limitHeard applies a limit that a process has named to this daemon, or its end.
+func (c *Core) limitHeard(now core.Micros, st *standing, named bool, perSecond float64) {
+	if st.limit.apply(now, now, named, perSecond) {
+		st.limit.changedAt = now
+		c.emit(LimitChanged{Process: st.process, Named: named, PerSecond: perSecond})
+	}
+}
+
+// peerSawLimit applies a limit that a process has named to a neighbour, or its end.
+func (c *Core) peerSawLimit(e PeerSawLimit) {
+	st := c.standings.update(e.Now, e.Process)
+	if heard := e.Now - max(0, e.Age); heard > st.limit.heardAt {
+		st.limit.apply(e.Now, heard, e.Named, e.PerSecond)
 	}
+	c.attachStanding(e.Process, st)
 }
 
-func (c *Core) limitNamed(now core.Micros, st *standing, perSecond float64) {
-	changed := !st.limit.named || st.limit.perSecond != perSecond
-	st.limit = limit{named: true, perSecond: perSecond, heardAt: now}
-	if changed {
-		c.emit(LimitChanged{Process: st.process, Named: true, PerSecond: perSecond})
+// LimitChanges returns the limits whose last change this daemon saw for itself after the given time, in no particular order.
+func (c *Core) LimitChanges(now, after core.Micros) []PeerSawLimit {
+	var out []PeerSawLimit
+	for p, st := range c.standings {
+		if st.limit.changedAt > after {
+			out = append(out, PeerSawLimit{
+				Process: p, Named: st.limit.named, PerSecond: st.limit.perSecond, Age: now - st.limit.heardAt,
+			})
+		}
 	}
+	return out
 }
 
 // peerSawLeaving applies a neighbour's report that a process is leaving.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -9,6 +9,7 @@
 //   - A server that is leaving or unknown is never assigned, whether its entry or the process itself says that it is
 //     leaving.
 //   - A server that asked this daemon for a pause is not assigned before its end.
+//   - A server that named a limit is not assigned beyond it, as far as the requests of all daemons are known.
 package dispatch
 
 import (
@@ -31,6 +32,8 @@
 type Service struct {
 	Name  string
 	Model *enginecost.Model
+	// Shared is set if daemons of several cells use the servers.
+	Shared bool `json:",omitempty"`
 }
 
 // Work is a request that needs a server.
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -84,14 +84,14 @@
 	d.latestSettings.Store(s)
 	s.applyMemoryLimit()
 	d.servers = newServerList(a.Codec, env.Log)
-	d.scheduler = newScheduler(s.FailureDomain, d.now, env.Log)
+	d.scheduler = newScheduler(s.FailureDomain, s.Name, d.now, env.Log)
 	d.budget = retrybudget.New(s.Retry.limits(), initialDaemonCount, d.now)
 	link, err := neighbors.Listen(d.self(), d, env.Log)
 	if err != nil {
 		return err
 	}
 	d.link = link
-	d.scheduler.broadcast = link.Broadcast
+	d.scheduler.broadcast, d.scheduler.broadcastToAll = link.Broadcast, link.BroadcastToAll
 	d.crashes = newCrashTracker(d.now, link.BroadcastToAll, env.Log)
 	d.crashes.onVerdict = func() { d.handler.CancelBlocked() }
 	d.config = directory.NewFollower(KindConfig, a.Store, env.Log, directory.Options{
@@ -186,11 +186,11 @@
 		return
 	}
 	d.serversMu.Lock()
-	list := d.usableServers()
+	list, shared := d.usableServers()
 	d.serversMu.Unlock()
 	services := make([]dispatch.Service, 0, len(table.Services))
 	for i := range table.Services {
-		services = append(services, dispatch.Service{Name: table.Services[i].Name, Model: table.Services[i].Engine})
+		services = append(services, dispatch.Service{Name: table.Services[i].Name, Model: table.Services[i].Engine, Shared: shared[table.Services[i].Name]})
 	}
 	d.scheduler.Step(dispatch.ServersChanged{Now: d.now(), Servers: list, Services: services})
 }
@@ -199,17 +199,22 @@
 // service with fewer is used by all daemons, so that no cell has none.
 const minServersPerCell = 16
 
-// usableServers returns the servers that the daemons of this cell use. The caller holds serversMu.
-func (d *Daemon) usableServers() []dispatch.Server {
-	list := d.servers.list()
+// usableServers returns the servers that the daemons of this cell use, and the services that other cells use as well. The
+// caller holds serversMu.
+func (d *Daemon) usableServers() (list []dispatch.Server, shared map[string]bool) {
+	list = d.servers.list()
 	count := map[string]int{}
 	for i := range list {
 		count[list[i].Service]++
 	}
 	cells := d.link.CellCount()
+	shared = map[string]bool{}
+	for service, n := range count {
+		shared[service] = cells > 1 && n < minServersPerCell*cells
+	}
 	return slices.DeleteFunc(list, func(s dispatch.Server) bool {
-		return count[s.Service] >= minServersPerCell*cells && !d.link.InCell(s.ID, s.Domain)
-	})
+		return cells > 1 && !shared[s.Service] && !d.link.InCell(s.ID, s.Domain)
+	}), shared
 }
 
 func (d *Daemon) serverByID(id string) (dispatch.Server, bool) {
@@ -229,7 +234,7 @@
 			d.updateServers()
 		}
 		d.budget.SetDaemons(d.link.DaemonCount())
-		d.scheduler.Step(dispatch.DaemonCountChanged{Count: len(d.link.Live())})
+		d.scheduler.Step(dispatch.DaemonCountChanged{Count: len(d.link.Live()), Total: d.link.DaemonCount()})
 		d.pool.Retain(d.idleConnLimit)
 		d.scheduler.Step(dispatch.Tick{Now: d.now()})
 	})
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -45,7 +45,9 @@
 		d.servers.servers[id] = dispatch.Server{ID: id, Service: "desk"}
 	}
 	count := map[string]int{}
-	for _, s := range d.usableServers() {
+	list, shared := d.usableServers()
+	require.Equal(t, map[string]bool{"desk": true, "llm": false}, shared)
+	for _, s := range list {
 		count[s.Service]++
 	}
 	require.Equal(t, desks, count["desk"])
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -55,6 +55,7 @@
 		d.scheduler.Step(dispatch.ServerFailed{Now: now, Server: f.GetServer(), Fault: dispatch.Fault(f.GetFault())})
 	}
 	d.scheduler.recordLeaving(p.GetLeaving())
+	d.scheduler.recordLimits(p.GetLimits())
 	for _, r := range p.GetReports() {
 		d.scheduler.Step(dispatch.ServerAlive{Now: now, Server: r.GetServer(), Slowdown: r.GetPace()})
 	}
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -36,7 +36,8 @@
 	d.serversMu.Lock()
 	defer d.serversMu.Unlock()
 	var out []dispatch.Server
-	for _, s := range d.usableServers() {
+	list, _ := d.usableServers()
+	for _, s := range list {
 		if table == nil || s.Leaving || !d.scheduler.Accepts(s.Process()) {
 			continue
 		}
@@ -51,9 +52,11 @@
 	var err error
 	for range reportAttempts {
 		var report Report
+		sent := d.now()
 		report, err = d.fetchReport(ctx, s.Address)
 		accepts := d.scheduler.RecordNotice(s.Process(), report.Notice)
 		if err == nil {
+			d.scheduler.RecordAnswer(s.Process(), sent, report.Notice)
 			d.recordReport(s, report)
 			return
 		}
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -21,7 +21,9 @@
 	now       func() core.Micros
 	log       *slog.Logger
 	broadcast func(urgent bool, add func(p *carobstilev1.EdgePacket))
-	timers    shell.Timers
+	// broadcastToAll reaches the daemons of all cells.
+	broadcastToAll func(add func(p *carobstilev1.EdgePacket))
+	timers         shell.Timers
 
 	mu      sync.Mutex
 	core    *dispatch.Core
@@ -40,9 +42,9 @@
 	placed core.Micros
 }
 
-func newScheduler(domain string, now func() core.Micros, log *slog.Logger) *scheduler {
+func newScheduler(domain, name string, now func() core.Micros, log *slog.Logger) *scheduler {
 	return &scheduler{
-		now: now, log: log, core: dispatch.New(domain), waiting: map[uint64]chan placement{}, ownJobs: map[uint64]*ownJob{},
+		now: now, log: log, core: dispatch.New(domain, name), waiting: map[uint64]chan placement{}, ownJobs: map[uint64]*ownJob{},
 	}
 }
 
@@ -162,7 +164,7 @@
 		case dispatch.SetTimer:
 			s.timers.Set("waiting", e.At-s.now(), func() { s.Step(dispatch.Tick{Now: s.now()}) })
 		case dispatch.Announce:
-			s.announceJob(e.Job)
+			s.announceJob(e)
 		case dispatch.AnnounceFirst:
 			if j := s.ownJobs[e.ID]; j != nil {
 				j.Decoding = true
@@ -173,6 +175,8 @@
 			s.broadcast(false, func(p *carobstilev1.EdgePacket) { p.Ended = append(p.Ended, e.ID) })
 		case dispatch.LimitChanged:
 			s.log.Info("server limits its requests", "server", e.Process.ID, "limited", e.Named, "per_second", e.PerSecond)
+			l := encodeLimit(dispatch.PeerSawLimit{Process: e.Process, Named: e.Named, PerSecond: e.PerSecond})
+			s.broadcastToAll(func(p *carobstilev1.EdgePacket) { p.Limits = append(p.Limits, l) })
 		case dispatch.PauseStarted:
 			s.log.Info("server asked for a pause", "server", e.Process.ID, "retry_after", e.Text)
 		case dispatch.AnnounceLeaving:
@@ -191,11 +195,32 @@
 	}
 }
 
-func (s *scheduler) announceJob(job dispatch.Job) {
+func (s *scheduler) announceJob(e dispatch.Announce) {
 	now := s.now()
-	j := &ownJob{Job: job, placed: now}
-	s.ownJobs[job.ID] = j
-	s.broadcast(true, func(p *carobstilev1.EdgePacket) { p.Placed = append(p.Placed, j.encode(now)) })
+	j := &ownJob{Job: e.Job, placed: now}
+	s.ownJobs[e.Job.ID] = j
+	add := func(p *carobstilev1.EdgePacket) { p.Placed = append(p.Placed, j.encode(now)) }
+	if e.ToAll {
+		s.broadcastToAll(add)
+		return
+	}
+	s.broadcast(true, add)
+}
+
+func encodeLimit(l dispatch.PeerSawLimit) *carobstilev1.EdgeLimit {
+	return &carobstilev1.EdgeLimit{
+		Server: l.Process.ID, StartedAt: l.Process.StartedAt, Named: l.Named, PerSecond: l.PerSecond, AgeMicros: int64(l.Age),
+	}
+}
+
+// recordLimits records the limits that processes have named to another daemon.
+func (s *scheduler) recordLimits(list []*carobstilev1.EdgeLimit) {
+	for _, l := range list {
+		s.Step(dispatch.PeerSawLimit{
+			Now: s.now(), Process: dispatch.Process{ID: l.GetServer(), StartedAt: l.GetStartedAt()}, Named: l.GetNamed(),
+			PerSecond: l.GetPerSecond(), Age: core.Micros(l.GetAgeMicros()),
+		})
+	}
 }
 
 // fillSummary lists all jobs that this daemon runs. It adds the details of those placed less than jobRepeatPeriod ago,
@@ -205,8 +230,13 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	p.Leaving = encodeProcesses(s.core.HeardLeaving(now - jobRepeatPeriod))
+	changedAfter := now - jobRepeatPeriod
 	if full {
 		p.Leaving = encodeProcesses(s.core.LeavingProcesses())
+		changedAfter = 0
+	}
+	for _, l := range s.core.LimitChanges(now, changedAfter) {
+		p.Limits = append(p.Limits, encodeLimit(l))
 	}
 	for id, j := range s.ownJobs {
 		p.Active = append(p.Active, id)
--- a/internal/neighbors/split_test.go
+++ b/internal/neighbors/split_test.go
@@ -18,6 +18,7 @@
 		p.Crashes = append(p.Crashes, &carobstilev1.EdgeCrash{Traits: []uint64{1, 2}, Server: "s"})
 		p.Sound = append(p.Sound, uint64(i))
 		p.Verdicts = append(p.Verdicts, &carobstilev1.EdgeVerdict{Traits: []uint64{uint64(i)}})
+		p.Limits = append(p.Limits, &carobstilev1.EdgeLimit{Server: "s"})
 		p.Ended = append(p.Ended, uint64(i))
 		p.Placed = append(p.Placed, &carobstilev1.EdgeJob{Id: uint64(i), Service: "engines"})
 	}
@@ -37,6 +38,7 @@
 	require.Len(t, merged.GetCrashes(), count)
 	require.Len(t, merged.GetSound(), count)
 	require.Len(t, merged.GetVerdicts(), count)
+	require.Len(t, merged.GetLimits(), count)
 	require.Len(t, merged.GetEnded(), count)
 	require.Len(t, merged.GetPlaced(), count)
 	require.Len(t, split(&carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: string(make([]byte, limit+1))}}, limit), 1,
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -127,7 +127,7 @@
 		})
 	}
 	for range s.Daemons {
-		c := dispatch.New("z")
+		c := dispatch.New("z", fmt.Sprint("d", len(s.daemons)))
 		c.Step(changed)
 		c.Step(dispatch.DaemonCountChanged{Count: s.Daemons})
 		s.daemons = append(s.daemons, c)
