ratelimit: use the whole limit that a server names

A tenth of each limit was left unused in case announcements are lost. They are repeated in summaries, and what was sent beyond the limit is made up for, so that callers were refused for nothing.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// usedShare is the share of a limit that is used. The rest covers requests of other daemons whose announcement is lost.
-	usedShare = 0.9
 	// maxSaved is how many unused requests are saved for later. It is more than the largest reserve and one request.
 	maxSaved = 2
 	// savedFor is the time for which a limit is saved beyond that, so that requests may come in uneven numbers.
@@ -40,7 +38,7 @@
 // SetRate sets the number of requests a second of all daemons that count each other's requests.
 func (b *Bucket) SetRate(now core.Micros, perSecond float64) {
 	b.refill(now)
-	b.perSecond = max(minPerSecond, usedShare*perSecond)
+	b.perSecond = max(minPerSecond, perSecond)
 }
 
 // Rate returns the number of requests a second that are sent at most.
