forward: continue a stream only with a response of the same media type

An answer with another status than success was already kept out; one with status 200 and a text was written as an event, and its end completed the stream. The media type now has to be that of the response whose header the caller has; anything else fails the attempt.

TestErrorResponseDoesNotCompleteResumedStream plays six more kinds of answers and failed with this one before; the others passed.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -273,7 +273,7 @@
 	}
 	q.sendCount++
 	q.mayHaveRun = true
-	if q.route.Stream && resp.Status < http.StatusMultipleChoices {
+	if q.route.Stream && resp.Status < http.StatusMultipleChoices && q.continuesStream(resp) {
 		return q.relayStream(detector, plan, id, resp, a), nil
 	}
 	if q.headerSent {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"mime"
 	"net/http"
 	"strconv"
 
@@ -24,6 +25,7 @@
 	eventCount     int    // events with an id written to the caller
 	lastEventID    string // id of the last event written to the caller
 	weightsVersion string
+	mediaType      string // of the response whose header the caller got
 	// firstEventAt is when the first event arrived, 0 before; firstEventLate is set if it missed the route's target.
 	firstEventAt   core.Micros
 	firstEventLate bool
@@ -164,11 +166,27 @@
 		return
 	}
 	q.headerSent = true
+	q.stream.mediaType = mediaType(resp)
 	copyHeader(q.w.Header(), resp.Header)
 	q.w.Header().Del("Content-Length") // the length can differ if another server resumes the stream
 	q.w.WriteHeader(resp.Status)
 }
 
+// continuesStream reports whether the body of a response can follow what the caller has. The media type of a text that is no
+// stream differs, also if its status says success.
+func (q *request) continuesStream(resp *upstream.Response) bool {
+	return !q.headerSent || mediaType(resp) == q.stream.mediaType
+}
+
+// mediaType returns the media type of a response without its parameters, "" if it is not readable.
+func mediaType(resp *upstream.Response) string {
+	name, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return name
+}
+
 func (q *request) flush() bool { return http.NewResponseController(q.w).Flush() == nil }
 
 // handleStreamEnd handles the end of a server's stream; rest is what follows the last complete event, err is the error of
