forward: refuse a request whose body arrives after a stopping daemon takes no more requests

A stopping daemon refused requests by their header after 2.5 s, but one whose header came before and whose body came later was passed on. It is now refused once its body is read: no byte of it has left the daemon.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -116,9 +116,8 @@
 	if q.table == nil {
 		return q.rejectNotRun(http.StatusServiceUnavailable, retryAfterNoConfig, "no configuration is known yet")
 	}
-	if h.draining.Load() {
-		q.w.Header().Set("Connection", "close")
-		return q.rejectNotRun(http.StatusServiceUnavailable, retryAfterTransient, "daemon is stopping")
+	if q.rejectIfStopping() {
+		return false
 	}
 	q.route = q.table.Match(q.r.Host, q.r.URL.Path)
 	if q.route == nil {
@@ -127,7 +126,7 @@
 	if !q.authenticate() {
 		return false
 	}
-	if !q.readBody() {
+	if !q.readBody() || q.rejectIfStopping() { // a body can arrive seconds after its header
 		return false
 	}
 	q.service = q.route.Pick(rand.Float64())
@@ -141,6 +140,16 @@
 	return true
 }
 
+// rejectIfStopping rejects the request if the daemon takes no more requests, and reports whether it did.
+func (q *request) rejectIfStopping() bool {
+	if !q.h.draining.Load() {
+		return false
+	}
+	q.w.Header().Set("Connection", "close")
+	q.rejectNotRun(http.StatusServiceUnavailable, retryAfterTransient, "daemon is stopping")
+	return true
+}
+
 func (q *request) authenticate() bool {
 	if !q.table.NeedsKey() || q.route.Public {
 		return true
