soak: prompts with a deadly part, and servers that name a limit

Both are faults of drawn schedules now, judged from what servers see (BUDGET of a part, LIMIT), with daemons excused that were disturbed. TestDeadlyPartAndLimits plays both beside killed and stopped daemons and a silent store.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -62,6 +62,9 @@
 	meanCallerPause = 100 * time.Millisecond
 	// dynamicShare is the share of requests that use a route or key which the run adds and removes.
 	dynamicShare = 0.15
+	// topics is the number of popular parts of prompts, and deadlyShare the share of prompts that get a deadly part.
+	topics      = 20
+	deadlyShare = 0.1
 	// maxBodyBytes is large enough that some bodies are sent in several writes.
 	maxBodyBytes = 6_000
 	// callerGrace is how much longer than the request's timeout a caller waits, so that a late end is detected.
@@ -74,6 +77,9 @@
 	kind                *requestKind
 	daemon              int
 	sent                time.Time
+	parts               []string // shared parts of the prompt
+	// deadlyPart is the part under which engines crash; "" for sound requests.
+	deadlyPart string
 	// dynamicName is the route or key that the run adds and removes; "" for other requests.
 	dynamicName string
 
@@ -137,11 +143,23 @@
 		r.kind, r.key = dynamicKind("/again/"), r.dynamicName
 	default:
 		r.kind = c.drawKind()
+		c.addParts(r)
 	}
 	r.path = r.kind.prefix + id
 	return r
 }
 
+// addParts gives a prompt a popular part and, while there is one, at times a deadly part.
+func (c *caller) addParts(r *request) {
+	if r.kind.promptTokens == 0 {
+		return
+	}
+	r.parts = []string{"topic" + strconv.Itoa(c.random.IntN(topics))}
+	if part := c.checker.randomDeadlyPart(c.random); part != "" && c.random.Float64() < deadlyShare {
+		r.deadlyPart, r.parts = part, append(r.parts, part)
+	}
+}
+
 func (c *caller) drawKind() *requestKind {
 	total := 0
 	for _, k := range requestKinds {
@@ -163,7 +181,7 @@
 	req, err := standin.Call{
 		Address: c.cluster.daemons[r.daemon].callers.address(), Host: host, Method: http.MethodPost, Path: r.path, ID: r.id,
 		Key: r.key, Timeout: r.kind.timeout, Body: strings.NewReader(r.body), PromptTokens: r.kind.promptTokens,
-		MaxAnswerTokens: answerTokens,
+		MaxAnswerTokens: answerTokens, SharedParts: r.parts,
 	}.Request()
 	if err != nil {
 		panic(fmt.Sprintf("build request: %v", err))
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -83,6 +83,7 @@
 	dynamicNames   []string
 	drainingSince  map[string]time.Time
 	runs           []serverRun
+	overload       overloadChecks
 	violations     []Violation
 	outcomeCounts  map[string]int
 }
@@ -97,7 +98,7 @@
 func newChecker(log *slog.Logger) *checker {
 	return &checker{
 		log: log, start: time.Now(), requests: map[string]*request{}, dynamicEntries: map[string]dynamicEntry{},
-		drainingSince: map[string]time.Time{}, outcomeCounts: map[string]int{},
+		drainingSince: map[string]time.Time{}, outcomeCounts: map[string]int{}, overload: newOverloadChecks(),
 	}
 }
 
@@ -199,6 +200,8 @@
 	case isRefusal(r.status):
 		c.addViolation("REFUSED", r.id, "ran on %s after the caller had received status %d", run.Server, r.status)
 	}
+	c.checkDeadlyPart(r, run)
+	c.checkServerLimit(r, run)
 	c.checkService(r, run)
 	c.checkDraining(r, run)
 	c.checkRetryBudget(run.At, r.kind.service)
@@ -335,7 +338,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.requests {
-		if r.sent.Before(from) || r.ended.After(to) || r.ended.IsZero() || r.dynamicName != "" {
+		if r.sent.Before(from) || r.ended.After(to) || r.ended.IsZero() || r.dynamicName != "" || r.deadlyPart != "" {
 			continue
 		}
 		sent++
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,7 @@
 	plainService  = "desk"
 	failureDomain = "z1"
 	extraRoute    = "/extra/"
+	deadlyPrefix  = "deadly-"
 )
 
 const (
@@ -77,6 +79,8 @@
 	daemons     []*daemon
 	backends    []*backend
 	onRun       func(standin.Run)
+	// onCrash is called when a server is about to crash; number is that of its backend.
+	onCrash atomic.Pointer[func(number int, s *standin.Server)]
 
 	mu      sync.Mutex
 	version int
@@ -135,7 +139,12 @@
 		return errors.Wrap(err, "server")
 	}
 	server.Events, server.EventInterval, server.MaxReservedTokens = streamEvents, eventInterval, engineMemoryTokens
-	server.OnRun = c.onRun
+	server.OnRun, server.DeadlyPart = c.onRun, deadlyPrefix
+	server.OnCrash = func() {
+		if onCrash := c.onCrash.Load(); onCrash != nil {
+			(*onCrash)(number, server)
+		}
+	}
 	server.Text = func(run standin.Run, event int) string { return answerText(run.ID, string(run.Body), event) }
 	b.server = server
 	b.link.setTarget(server.Address())
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -126,7 +127,47 @@
 		inj.changeRoute(number, f)
 	case ConfigKey:
 		inj.changeKey(number, f)
+	case ServerLimit:
+		defer inj.lock(lockServer, b)()
+		inj.limitServer(inj.cluster.backends[b].current(), f)
+	case DeadlyPart:
+		part := deadlyPrefix + strconv.Itoa(number)
+		inj.checker.setDeadly(part, true)
+		time.Sleep(milliseconds(f.ForMs))
+		inj.checker.setDeadly(part, false)
+	}
+}
+
+func (inj *injector) limitServer(s *standin.Server, f Fault) {
+	limit, err := strconv.ParseFloat(f.Variant, 64)
+	if err != nil {
+		panic(fmt.Sprintf("variant %q of %s: %v", f.Variant, f.Kind, err)) // not in faultSpecs
 	}
+	s.SetExtraHeader(standin.LimitHeader(limit))
+	inj.checker.setLimit(s.ID, limit)
+	time.Sleep(milliseconds(f.ForMs))
+	inj.checker.setLimit(s.ID, 0)
+	s.SetExtraHeader("")
+}
+
+// crashedServerRestart is how long a server is away that a request has crashed.
+const crashedServerRestart = time.Second
+
+// restartCrashed starts the successor of a server that is about to crash by a request.
+func (inj *injector) restartCrashed(number int, s *standin.Server) {
+	end := inj.checker.beginDisturbance(scopeServers)
+	inj.active.Go(func() {
+		defer end()
+		time.Sleep(crashedServerRestart)
+		b := inj.cluster.backends[number]
+		if b.current() != s {
+			return // another fault has replaced it
+		}
+		inj.cluster.store.Delete(standin.KindServers, s.ID)
+		if err := inj.cluster.startServer(b, number); err != nil {
+			inj.checker.reportViolation("PROCESS", "", "server %d did not start: %v", number, err)
+		}
+	})
 }
 
 func (inj *injector) injectLinkFault(p *proxy, f Fault) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -29,6 +29,8 @@
 	ServerDrain   Kind = "server-drain" // planned replacement: drains, then a successor starts
 	ConfigRoute   Kind = "config-route" // adds a route and removes it after ForMs
 	ConfigKey     Kind = "config-key"   // adds a key and revokes it after ForMs
+	ServerLimit   Kind = "server-limit" // the server names the variant as its limit of requests a second
+	DeadlyPart    Kind = "deadly-part"  // some prompts have a part under which each engine crashes
 )
 
 // Fault is one fault of a schedule.
@@ -96,6 +98,8 @@
 	{ServerDrain, 3, nil, 1_000},
 	{ConfigRoute, 3, nil, 5_000},
 	{ConfigKey, 3, nil, 5_000},
+	{ServerLimit, 3, []string{"0.5", "1", "3"}, 8_000},
+	{DeadlyPart, 2, nil, 12_000},
 }
 
 // Generate adds drawn faults to a schedule. On average, one fault in three starts within 300 ms of the previous one, so that
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,7 +85,10 @@
 	}
 	peak := 0
 	monitor.Go(func() { peak = monitorProcesses(monitoring, c, checker) })
-	(&injector{cluster: c, checker: checker, log: log}).run(ctx, s.Faults)
+	inj := &injector{cluster: c, checker: checker, log: log}
+	onCrash := inj.restartCrashed
+	c.onCrash.Store(&onCrash)
+	inj.run(ctx, s.Faults)
 	sleep(ctx, recoveryTimeout)
 	recovered := time.Now()
 	sleep(ctx, recoveryCheckPeriod)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,6 +102,24 @@
 	requireNoViolations(t, s)
 }
 
+// Guards against requests with a deadly part that keep crashing engines, and against limits of servers that the daemons together
+// exceed, while daemons are killed and stopped and the store is away.
+func TestDeadlyPartAndLimits(t *testing.T) {
+	t.Parallel()
+	s := Schedule{Seed: 4, Daemons: 5, Engines: 10, Plain: 3, Callers: 30, FaultsMs: 14_000, Faults: []Fault{
+		{AtMs: 0, Kind: DeadlyPart, ForMs: 16_000},
+		{AtMs: 200, Kind: ServerLimit, Target: 10, Variant: "1", ForMs: 14_000},
+		{AtMs: 300, Kind: ServerLimit, Target: 1, Variant: "0.5", ForMs: 14_000},
+		{AtMs: 6_000, Kind: DaemonKill, Target: 0, ForMs: 500},
+		{AtMs: 6_100, Kind: StoreOutage, Variant: "silent", ForMs: 2_000},
+		{AtMs: 6_200, Kind: DaemonKill, Target: 3, ForMs: 300},
+		{AtMs: 9_000, Kind: DaemonStop, Target: 1, ForMs: 200},
+		{AtMs: 12_000, Kind: ServerCrash, Target: 4, ForMs: 500},
+		{AtMs: 13_000, Kind: DeadlyPart, ForMs: 6_000},
+	}}
+	requireNoViolations(t, s)
+}
+
 // scheduleOfEveryFault returns a schedule with each variant of each kind of fault. The variants of ServerFault cover all
 // engines and plain servers.
 func scheduleOfEveryFault() Schedule {
