quarantine: keep a verdict beside a narrower one, and need full evidence against traits that were answered

Now a verdict stays when a narrower one is reached, and a trait that an answered request of the sample has is blamed by the evidence of a first verdict only. Besides, the summary for a daemon that joins holds all limits of servers that are known, not only those that the sender saw change.

TestVerdictSurvivesWrongNarrowing and TestAnsweredTraitIsNotBlamedForOneCrash failed before.

--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -178,7 +178,11 @@
 	require.NotNil(t, assigned(c.Step(Arrived{Now: 60, Work: shortWork(2, 60)}), 2))
 	require.Empty(t, c.Step(PeerSawLimit{Now: 70, Process: p, Named: true, PerSecond: 0.1, Age: 60}), "older than the end")
 	require.NotNil(t, assigned(c.Step(Arrived{Now: 80, Work: shortWork(3, 80)}), 3))
-	require.Equal(t, []PeerSawLimit{{Process: p, Age: 50}}, c.LimitChanges(100, 0))
+	require.Equal(t, []PeerSawLimit{{Process: p, Age: 50}}, c.LimitChanges(100, 0, false))
+	require.Empty(t, c.LimitChanges(100, 50, true))
+	c.Step(PeerSawLimit{Now: 110, Process: p, Named: true, PerSecond: 0.1})
+	require.Empty(t, c.LimitChanges(120, 60, false), "this daemon has not seen it for itself")
+	require.Equal(t, []PeerSawLimit{{Process: p, Named: true, PerSecond: 0.1, Age: 10}}, c.LimitChanges(120, 60, true))
 }
 
 // Guards against a restarted server that is held to the limit of its predecessor.
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -193,11 +193,12 @@
 	c.attachStanding(e.Process, st)
 }
 
-// LimitChanges returns the limits whose last change this daemon saw for itself after the given time, in no particular order.
-func (c *Core) LimitChanges(now, after core.Micros) []PeerSawLimit {
+// LimitChanges returns the limits whose last change this daemon saw for itself after the given time, or all known limits, in no
+// particular order.
+func (c *Core) LimitChanges(now, after core.Micros, all bool) []PeerSawLimit {
 	var out []PeerSawLimit
 	for p, st := range c.standings {
-		if st.limit.changedAt > after {
+		if st.limit.changedAt > after || all && st.limit.named {
 			out = append(out, PeerSawLimit{
 				Process: p, Named: st.limit.named, PerSecond: st.limit.perSecond, Age: now - st.limit.heardAt,
 			})
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -230,12 +230,10 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	p.Leaving = encodeProcesses(s.core.HeardLeaving(now - jobRepeatPeriod))
-	changedAfter := now - jobRepeatPeriod
 	if full {
 		p.Leaving = encodeProcesses(s.core.LeavingProcesses())
-		changedAfter = 0
 	}
-	for _, l := range s.core.LimitChanges(now, changedAfter) {
+	for _, l := range s.core.LimitChanges(now, now-jobRepeatPeriod, full) {
 		p.Limits = append(p.Limits, encodeLimit(l))
 	}
 	for id, j := range s.ownJobs {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -15,12 +15,10 @@
 			continue
 		}
 		e := c.evidenceAgainst(t)
-		chance := poissonTail(e.crashes, c.share(t)*float64(e.suspects))
-		if v := c.verdictOf(t); v != nil {
+		share, seen := c.share(t)
+		chance := poissonTail(e.crashes, share*float64(e.suspects))
+		if v := c.verdictOf(t); v != nil && !seen && chance < maxNarrowChance {
 			e.common = slices.DeleteFunc(e.common, func(o Trait) bool { return !slices.Contains(v.traits, o) })
-			if chance >= maxNarrowChance {
-				continue
-			}
 		} else if e.crashes < minCrashes || chance >= maxChance {
 			continue
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,7 +6,7 @@
 // enough servers broke under requests that have it, none of which was ever answered, and its share of the traffic does not
 // explain how often it was there. What is blamed is the set of traits that all those requests have in common, so that a
 // sound trait that only came along is refused in that company alone. If servers crash under requests that have only some of
-// them, the verdict is narrowed to these. An answer that begins clears the traits of its request, also after a verdict.
+// them, a second verdict names these; the first one stays, in case the second proves wrong. An answer that begins clears the traits of its request, also after a verdict.
 //
 // Core is a reducer: it has no clock, goroutine or I/O. Daemons exchange what they observe and the verdicts that they
 // reach. Invariants:
@@ -34,7 +34,8 @@
 	// maxChance is the largest probability that the traffic alone explains the crashes of a trait that is blamed. When a
 	// failure domain goes down, dozens of popular traits are judged at once.
 	maxChance = 2e-5
-	// maxNarrowChance is the same for a trait of a verdict that further servers crash under without the verdict's other traits.
+	// maxNarrowChance is the same for a trait of a verdict that further servers crash under without the verdict's other traits,
+	// if no request with it was answered recently.
 	maxNarrowChance = 0.05
 	// rareShare is the share of the traffic that is assumed for a trait that was not seen among a few requests.
 	rareShare = 0.0133
@@ -201,8 +202,9 @@
 	c.next = (c.next + 1) % recentRequests
 }
 
-// share returns an upper estimate of the share of the traffic that has a trait, from a sample of recent requests.
-func (c *Core) share(t Trait) float64 {
+// share returns an upper estimate of the share of the traffic that has a trait, from a sample of recent requests that were
+// answered, and whether any of them has it.
+func (c *Core) share(t Trait) (share float64, seen bool) {
 	count := 0.0
 	for _, traits := range c.recent {
 		if slices.Contains(traits, t) {
@@ -211,9 +213,9 @@
 	}
 	size := float64(max(1, len(c.recent)))
 	if count == 0 {
-		return min(rareShare, 2/size)
+		return min(rareShare, 2/size), false
 	}
-	return (count + 2*math.Sqrt(count)) / size
+	return (count + 2*math.Sqrt(count)) / size, true
 }
 
 // underSuspicion returns those of the traits that a suspect or a verdict has.
@@ -333,7 +335,7 @@
 		c.verdicts = slices.DeleteFunc(c.verdicts, func(o *verdict) bool { return o == v })
 		return
 	}
-	c.dropWider(v)
+	c.dropDuplicates(v)
 	if v.inForce(now) {
 		c.emit(VerdictReached{Verdict: v.public(now)})
 	}
@@ -379,7 +381,6 @@
 		c.count(c.verdicts[0].traits, -1)
 		c.verdicts = slices.Delete(c.verdicts, 0, 1)
 	}
-	c.dropWider(v)
 	for i := len(c.crashes) - 1; i >= 0; i-- {
 		if slices.ContainsFunc(c.crashes[i].suspects, func(s []Trait) bool { return containsAll(s, traits) }) {
 			c.dropCrash(i)
@@ -387,14 +388,15 @@
 	}
 }
 
-// dropWider drops the verdicts that say no more than v does.
-func (c *Core) dropWider(v *verdict) {
+// dropDuplicates drops other verdicts with the traits of v, which takes the newest of their times.
+func (c *Core) dropDuplicates(v *verdict) {
 	c.verdicts = slices.DeleteFunc(c.verdicts, func(o *verdict) bool {
-		wider := o != v && containsAll(o.traits, v.traits)
-		if wider {
+		same := o != v && slices.Equal(o.traits, v.traits)
+		if same {
+			v.made = max(v.made, o.made)
 			c.count(o.traits, -1)
 		}
-		return wider
+		return same
 	})
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -57,10 +57,34 @@
 		c.Step(ServerBroke{Now: 12, Process: process(11), Traits: []Trait{6, 7, 3}})
 		require.True(t, blockedBy(c, 13, 8, 9, 3))
 		require.False(t, blockedBy(c, 13, 8, 2))
-		require.Len(t, c.verdicts, 1)
 	}
 }
 
+// Guards against a verdict that is given up for a narrower one which an answer then lifts.
+func TestVerdictSurvivesWrongNarrowing(t *testing.T) {
+	const sound, deadly = 1, 2
+	c := New()
+	c.Step(VerdictHeard{Now: 1, Verdict: Verdict{Traits: []Trait{sound, deadly}}})
+	c.Step(ServerBroke{Now: 2, Process: process(1), Traits: []Trait{3, sound}}) // for reasons of its own
+	require.True(t, blockedBy(c, 3, 4, sound))
+	c.Step(PeerSawAnswer{Now: 4, Traits: []Trait{sound}})
+	require.False(t, blockedBy(c, 5, 4, sound))
+	require.True(t, blockedBy(c, 5, 4, sound, deadly))
+	require.True(t, blockedBy(c, 5, 4, 5, deadly))
+	require.Len(t, c.verdicts, 1)
+}
+
+// Guards against a verdict that is narrowed to its popular trait because one of many sound requests with it lost its answer.
+func TestAnsweredTraitIsNotBlamedForOneCrash(t *testing.T) {
+	const sound, deadly = 1, 2
+	c := New()
+	c.Step(AnswerBegan{Now: 1, Traits: []Trait{9, sound}})
+	c.Step(VerdictHeard{Now: 2, Verdict: Verdict{Traits: []Trait{sound, deadly}}})
+	c.Step(ServerBroke{Now: 3, Process: process(1), Traits: []Trait{3, sound}})
+	require.False(t, blockedBy(c, 4, 4, sound))
+	require.True(t, blockedBy(c, 4, 4, sound, deadly))
+}
+
 // Guards against a false verdict that stays, and against one that comes back from a daemon that has not heard of its end.
 func TestAnsweredRequestLiftsVerdict(t *testing.T) {
 	c := New()
