quarantine: the test of one lost answer uses a sample of 512 requests

With one request in the sample the share of the trait was so large that the earlier code did not blame it either; with one in a hundred of 512 the test fails on the code before.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -78,7 +78,9 @@
 func TestAnsweredTraitIsNotBlamedForOneCrash(t *testing.T) {
 	const sound, deadly = 1, 2
 	c := New()
-	c.Step(AnswerBegan{Now: 1, Traits: []Trait{9, sound}})
+	for n := range recentRequests {
+		c.Step(AnswerBegan{Now: 1, Traits: []Trait{Trait(1000 + n), Trait(sound + 10*(n%100))}})
+	}
 	c.Step(VerdictHeard{Now: 2, Verdict: Verdict{Traits: []Trait{sound, deadly}}})
 	c.Step(ServerBroke{Now: 3, Process: process(1), Traits: []Trait{3, sound}})
 	require.False(t, blockedBy(c, 4, 4, sound))
