--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -212,7 +212,7 @@
 	defer cancel()
 	image, err := d.adapter.Store.List(ctx, KindVerdicts)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		d.log.Info("failed to read verdicts", "err", err.Error())
+		d.log.Info("failed to read verdicts", "err", err)
 		return
 	}
 	d.verdictsLoaded.Store(true)
@@ -230,7 +230,7 @@
 	}
 	v, err := decodeStoredVerdict(value, time.Now())
 	if err != nil {
-		d.log.Warn("failed to decode verdict", "name", name, "err", err.Error())
+		d.log.Warn("failed to decode verdict", "name", name, "err", err)
 		return
 	}
 	d.crashes.step(quarantine.VerdictHeard{Now: d.now(), Verdict: v})
@@ -299,7 +299,7 @@
 		err = d.adapter.Store.Put(ctx, KindVerdicts, verdictName(v.Key()), value)
 	}
 	if err != nil {
-		d.log.Warn("failed to save verdict", "traits", formatTraits(v.Traits), "err", err.Error())
+		d.log.Warn("failed to save verdict", "traits", formatTraits(v.Traits), "err", err)
 	}
 	return err == nil
 }
@@ -307,7 +307,7 @@
 func (d *Daemon) deleteVerdict(ctx context.Context, key uint64) bool {
 	err := d.adapter.Store.Delete(ctx, KindVerdicts, verdictName(key))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		d.log.Warn("failed to delete verdict", "name", verdictName(key), "err", err.Error())
+		d.log.Warn("failed to delete verdict", "name", verdictName(key), "err", err)
 		return false
 	}
 	return true
--- a/internal/evlog/evlog.go
+++ b/internal/evlog/evlog.go
@@ -26,7 +26,7 @@
 
 // New returns a logger that writes key=value lines to w. Attributes whose key names a secret are redacted.
 func New(w io.Writer, process string, level slog.Level, clock *Clock) *slog.Logger {
-	text := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: redact})
+	text := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: formatAttr})
 	handler := &clockHandler{Handler: text, clock: clock}
 	return slog.New(handler).With(KeyProcess, process)
 }
@@ -62,9 +62,13 @@
 	"cluster_key": true, "cursor_key": true, "api_key": true, "token": true, "body": true, "prompt": true,
 }
 
-func redact(_ []string, a slog.Attr) slog.Attr {
+// formatAttr redacts secrets, and writes errors without their stack traces, which take kilobytes in one line.
+func formatAttr(_ []string, a slog.Attr) slog.Attr {
 	if secretKeys[a.Key] {
 		return slog.String(a.Key, "[redacted]")
 	}
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
 	return a
 }
--- a/internal/evlog/evlog_test.go
+++ b/internal/evlog/evlog_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -20,6 +21,14 @@
 	require.Contains(t, out.String(), "request=r1 hlc=7.0")
 }
 
+// Guards against log lines of kilobytes with a stack trace in place of an error.
+func TestErrorsAreLoggedInOneShortLine(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, "p", 0, NewClock(time.Now)).Warn("failed", "err", errors.Wrap(errors.New("cause"), "call"))
+	require.Contains(t, out.String(), `err="call: cause"`)
+	require.Equal(t, 1, bytes.Count(out.Bytes(), []byte("\n")))
+}
+
 // Guards against a timeline in which an effect precedes its cause because of clock skew between hosts.
 func TestClockOrdersReceiptAfterSending(t *testing.T) {
 	ahead := NewClock(func() time.Time { return time.UnixMicro(5_000) })
