--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -332,64 +332,9 @@
 }
 
 // processWaiting assigns or refuses waiting requests, in order of rank and due time.
-func (c *Core) processWaiting(now core.Micros) {
-	if len(c.waiting) == 0 {
-		return
-	}
-	slices.SortStableFunc(c.waiting, func(a, b *Work) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.FirstEventDue, b.FirstEventDue), cmp.Compare(a.ID, b.ID))
-	})
-	clear(c.ahead)
-	c.waiting = slices.DeleteFunc(c.waiting, func(w *Work) bool {
-		done := c.assignOrRefuse(now, w, c.ahead[w.Service])
-		if !done {
-			c.ahead[w.Service]++
-		}
-		return done
-	})
-	if len(c.waiting) > 0 && c.timerAt <= now {
-		c.timerAt = now + recheckInterval
-		c.emit(SetTimer{At: c.timerAt})
-	}
-}
-
 // assignOrRefuse reports whether the request was assigned or refused; otherwise it keeps waiting. ahead is the number of waiting
 // requests for the same service that come before it.
-func (c *Core) assignOrRefuse(now core.Micros, w *Work, ahead int) bool {
-	svc := c.services[w.Service]
-	if svc == nil {
-		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: "no server of the service is known"})
-		return true
-	}
-	o := c.bestOption(now, w, svc)
-	reason := "all servers of the service are full or away"
-	if o != nil && svc.Model != nil {
-		if limit := c.admissionLimit(now, svc, w); o.loss >= limit {
-			reason = fmt.Sprintf(
-				"other requests would lose more than this one can earn: %.1f of %.1f, %d engines, first event in %.0f ms",
-				o.loss, limit, 1+len(o.helpers), o.firstMs)
-			o = nil
-		}
-	}
-	if o != nil && (svc.Model == nil || !c.shouldWait(now, w, o)) {
-		c.assign(now, w, o)
-		return true
-	}
-	if c.refuseInShortage(now, w, svc, ahead) {
-		return true
-	}
-	if o == nil && now-w.Arrived > w.longestWait() {
-		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
-		return true
-	}
-	return false
-}
-
 // longestWait returns how long after its arrival a request without a server is refused.
-func (w *Work) longestWait() core.Micros {
-	return core.Micros(float64(min(w.AbandonAt, w.Deadline)-w.Arrived) * refuseAfterShare)
-}
-
 func (c *Core) bestOption(now core.Micros, w *Work, svc *service) *option {
 	list := c.candidates(now, w, svc)
 	if len(list) == 0 {
@@ -446,31 +391,8 @@
 }
 
 // shouldWait reports whether a request should wait for an option with less loss.
-func (c *Core) shouldWait(now core.Micros, w *Work, o *option) bool {
-	benefit := estimateBenefit(w.Prompt, w.Answer)
-	needed := micros(o.firstMs/onTimeRatio) + recheckInterval
-	if o.transientLoss <= acceptableLossShare(now-w.Arrived, w.FirstEventDue-needed-w.Arrived)*benefit {
-		return false
-	}
-	if now+needed < w.FirstEventDue {
-		return true
-	}
-	late := now+micros(o.firstMs) > w.FirstEventDue
-	othersLoss := o.transientLoss - benefit*ownLatenessLossShare(now, w, o.firstMs)
-	canWait := now+needed < w.Arrived+core.Micros(float64(w.AbandonAt-w.Arrived)*onTimeRatio)
-	return late && canWait && othersLoss > maxOthersLossShare*(1-lateLossShare)*benefit
-}
-
 // acceptableLossShare returns the share of its benefit that a request may cost after having waited for the given time;
 // slack is the total time that it can wait.
-func acceptableLossShare(waited, slack core.Micros) float64 {
-	if slack <= waited {
-		return initialLossTolerance + lossToleranceGrowth
-	}
-	x := float64(waited) / float64(slack)
-	return initialLossTolerance + lossToleranceGrowth*x*x
-}
-
 func (c *Core) assign(now core.Micros, w *Work, o *option) {
 	j := &job{
 		id: w.ID, service: w.Service, lead: o.lead.server, prompt: w.Prompt, answer: w.Answer, maxPause: w.MaxPause,
--- /dev/null
+++ b/internal/dispatch/waiting.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
+
+func (c *Core) processWaiting(now core.Micros) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(c.waiting, func(a, b *Work) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.FirstEventDue, b.FirstEventDue), cmp.Compare(a.ID, b.ID))
+	})
+	clear(c.ahead)
+	c.waiting = slices.DeleteFunc(c.waiting, func(w *Work) bool {
+		done := c.assignOrRefuse(now, w, c.ahead[w.Service])
+		if !done {
+			c.ahead[w.Service]++
+		}
+		return done
+	})
+	if len(c.waiting) > 0 && c.timerAt <= now {
+		c.timerAt = now + recheckInterval
+		c.emit(SetTimer{At: c.timerAt})
+	}
+}
+
+func (c *Core) assignOrRefuse(now core.Micros, w *Work, ahead int) bool {
+	svc := c.services[w.Service]
+	if svc == nil {
+		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: "no server of the service is known"})
+		return true
+	}
+	o := c.bestOption(now, w, svc)
+	reason := "all servers of the service are full or away"
+	if o != nil && svc.Model != nil {
+		if limit := c.admissionLimit(now, svc, w); o.loss >= limit {
+			reason = fmt.Sprintf(
+				"other requests would lose more than this one can earn: %.1f of %.1f, %d engines, first event in %.0f ms",
+				o.loss, limit, 1+len(o.helpers), o.firstMs)
+			o = nil
+		}
+	}
+	if o != nil && (svc.Model == nil || !c.shouldWait(now, w, o)) {
+		c.assign(now, w, o)
+		return true
+	}
+	if c.refuseInShortage(now, w, svc, ahead) {
+		return true
+	}
+	if o == nil && now-w.Arrived > w.longestWait() {
+		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
+		return true
+	}
+	return false
+}
+
+func (w *Work) longestWait() core.Micros {
+	return core.Micros(float64(min(w.AbandonAt, w.Deadline)-w.Arrived) * refuseAfterShare)
+}
+
+func (c *Core) shouldWait(now core.Micros, w *Work, o *option) bool {
+	benefit := estimateBenefit(w.Prompt, w.Answer)
+	needed := micros(o.firstMs/onTimeRatio) + recheckInterval
+	if o.transientLoss <= acceptableLossShare(now-w.Arrived, w.FirstEventDue-needed-w.Arrived)*benefit {
+		return false
+	}
+	if now+needed < w.FirstEventDue {
+		return true
+	}
+	late := now+micros(o.firstMs) > w.FirstEventDue
+	othersLoss := o.transientLoss - benefit*ownLatenessLossShare(now, w, o.firstMs)
+	canWait := now+needed < w.Arrived+core.Micros(float64(w.AbandonAt-w.Arrived)*onTimeRatio)
+	return late && canWait && othersLoss > maxOthersLossShare*(1-lateLossShare)*benefit
+}
+
+func acceptableLossShare(waited, slack core.Micros) float64 {
+	if slack <= waited {
+		return initialLossTolerance + lossToleranceGrowth
+	}
+	x := float64(waited) / float64(slack)
+	return initialLossTolerance + lossToleranceGrowth*x*x
+}
