--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -331,10 +331,6 @@
 	j.lead.addJob(j)
 }
 
-// processWaiting assigns or refuses waiting requests, in order of rank and due time.
-// assignOrRefuse reports whether the request was assigned or refused; otherwise it keeps waiting. ahead is the number of waiting
-// requests for the same service that come before it.
-// longestWait returns how long after its arrival a request without a server is refused.
 func (c *Core) bestOption(now core.Micros, w *Work, svc *service) *option {
 	list := c.candidates(now, w, svc)
 	if len(list) == 0 {
@@ -390,9 +386,6 @@
 	return queueLossPerMs * min(1, benefit/float64(len(svc.servers))/fullLoadBenefit)
 }
 
-// shouldWait reports whether a request should wait for an option with less loss.
-// acceptableLossShare returns the share of its benefit that a request may cost after having waited for the given time;
-// slack is the total time that it can wait.
 func (c *Core) assign(now core.Micros, w *Work, o *option) {
 	j := &job{
 		id: w.ID, service: w.Service, lead: o.lead.server, prompt: w.Prompt, answer: w.Answer, maxPause: w.MaxPause,
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -8,6 +8,7 @@
 	"github.com/carobstile/carobstile/internal/core"
 )
 
+// processWaiting assigns or refuses waiting requests, in order of rank and due time.
 func (c *Core) processWaiting(now core.Micros) {
 	if len(c.waiting) == 0 {
 		return
@@ -29,6 +30,8 @@
 	}
 }
 
+// assignOrRefuse reports whether the request was assigned or refused; otherwise it keeps waiting. ahead is the number of waiting
+// requests for the same service that come before it.
 func (c *Core) assignOrRefuse(now core.Micros, w *Work, ahead int) bool {
 	svc := c.services[w.Service]
 	if svc == nil {
@@ -59,10 +62,12 @@
 	return false
 }
 
+// longestWait returns how long after its arrival a request without a server is refused.
 func (w *Work) longestWait() core.Micros {
 	return core.Micros(float64(min(w.AbandonAt, w.Deadline)-w.Arrived) * refuseAfterShare)
 }
 
+// shouldWait reports whether a request should wait for an option with less loss.
 func (c *Core) shouldWait(now core.Micros, w *Work, o *option) bool {
 	benefit := estimateBenefit(w.Prompt, w.Answer)
 	needed := micros(o.firstMs/onTimeRatio) + recheckInterval
@@ -78,6 +83,8 @@
 	return late && canWait && othersLoss > maxOthersLossShare*(1-lateLossShare)*benefit
 }
 
+// acceptableLossShare returns the share of its benefit that a request may cost after having waited for the given time;
+// slack is the total time that it can wait.
 func acceptableLossShare(waited, slack core.Micros) float64 {
 	if slack <= waited {
 		return initialLossTolerance + lossToleranceGrowth
--- a/internal/neighbors/link.go
+++ b/internal/neighbors/link.go
@@ -347,12 +347,6 @@
 	l.sendSummary()
 }
 
-// Broadcast adds content to the next datagram to all neighbours. Urgent content is sent within urgentDelay.
-// BroadcastToAll adds content to the next datagram to all other daemons, in all cells, which is sent within urgentDelay.
-// scheduleFlush makes sure that pending content is sent within delay. The caller holds mu.
-// sendGreeting sends a summary with the full sender to a daemon that has just become known.
-// sendSummary sends everything that this daemon runs to the neighbours; one of summariesPerAwayProbe summaries also
-// goes to those that are away.
 // expireNeighbors marks neighbours as away after silenceTimeout and removes them after removalTimeout.
 func (l *Link) expireNeighbors() {
 	l.mu.Lock()
@@ -382,10 +376,3 @@
 	}
 	return now.Sub(n.lastNamed) > otherCellTimeout
 }
-
-// send sends a packet to those neighbours that include selects, in several datagrams if it is large. include is called with
-// mu held.
-// senderField returns the sender of a datagram, in full or in short form. Only greetings and summaries to all
-// neighbours hold the full form: traffic between failure domains is billed by the byte, and the addresses made up half
-// of most datagrams.
-// recipient is a daemon that a datagram is sent to.
--- a/internal/neighbors/send.go
+++ b/internal/neighbors/send.go
@@ -10,6 +10,7 @@
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 )
 
+// Broadcast adds content to the next datagram to all neighbours. Urgent content is sent within urgentDelay.
 func (l *Link) Broadcast(urgent bool, add func(p *carobstilev1.EdgePacket)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -21,6 +22,7 @@
 	l.scheduleFlush(delay)
 }
 
+// BroadcastToAll adds content to the next datagram to all other daemons, in all cells, which is sent within urgentDelay.
 func (l *Link) BroadcastToAll(add func(p *carobstilev1.EdgePacket)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -31,6 +33,7 @@
 	l.scheduleFlush(urgentDelay)
 }
 
+// scheduleFlush makes sure that pending content is sent within delay. The caller holds mu.
 func (l *Link) scheduleFlush(delay time.Duration) {
 	flushAt := time.Now().Add(delay)
 	if l.flushTimer != nil && !flushAt.Before(l.flushAt) {
@@ -72,6 +75,7 @@
 	}
 }
 
+// sendGreeting sends a summary with the full sender to a daemon that has just become known.
 func (l *Link) sendGreeting(to recipient) {
 	p := &carobstilev1.EdgePacket{Summary: true}
 	l.handler.FillSummary(p)
@@ -83,6 +87,8 @@
 	}
 }
 
+// sendSummary sends everything that this daemon runs to the neighbours; one of summariesPerAwayProbe summaries also
+// goes to those that are away.
 func (l *Link) sendSummary() {
 	p := &carobstilev1.EdgePacket{Summary: true}
 	l.handler.FillSummary(p)
@@ -94,6 +100,8 @@
 	l.send(p, func(n *neighbor) bool { return (all || !n.away) && l.inCell(n.member) })
 }
 
+// send sends a packet to those neighbours that include selects, in several datagrams if it is large. include is called with
+// mu held.
 func (l *Link) send(p *carobstilev1.EdgePacket, include func(*neighbor) bool) {
 	l.mu.Lock()
 	if p.GetSender() == nil {
@@ -111,6 +119,9 @@
 	}
 }
 
+// senderField returns the sender of a datagram, in full or in short form. Only greetings and summaries to all
+// neighbours hold the full form: traffic between failure domains is billed by the byte, and the addresses made up half
+// of most datagrams.
 func (l *Link) senderField(full bool) *carobstilev1.EdgeMember {
 	if full {
 		return l.self
@@ -118,6 +129,7 @@
 	return &carobstilev1.EdgeMember{Name: l.name, Boot: l.self.GetBoot(), Leaving: l.self.GetLeaving()}
 }
 
+// recipient is a daemon that a datagram is sent to.
 type recipient struct {
 	address     netip.AddrPort
 	otherDomain bool
