--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -18,6 +18,7 @@
 		share, seen := c.share(t)
 		chance := poissonTail(e.crashes, share*float64(e.suspects))
 		if v := c.verdictOf(t); v != nil && !seen && chance < maxNarrowChance {
+			// The crashes under the verdict count for its traits already.
 			e.common = slices.DeleteFunc(e.common, func(o Trait) bool { return !slices.Contains(v.traits, o) })
 		} else if e.crashes < minCrashes || chance >= maxChance {
 			continue
