--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,6 +31,11 @@
 const (
 	// minCrashes is the smallest number of crashes that can blame a trait.
 	minCrashes = 3
+	// minOtherCrashes is the smallest number of crashes that must remain without those at which the trait came along with one
+	// other.
+	minOtherCrashes = 2
+	// smallSample is the number of recent requests under which popular traits may be missing among them.
+	smallSample = 100
 	// maxChance is the largest probability that the traffic alone explains the crashes of a trait that is blamed. When a
 	// failure domain goes down, dozens of popular traits are judged at once.
 	maxChance = 2e-5
