quarantine: an answer in the three seconds before a verdict contradicts it

Now each daemon that hears of a verdict clears those of its traits that it has seen answered in the last three seconds, and tells the others; the rest of the verdict stays. Ruled out: a verdict that comes back (it was reached once and never lifted, as no request with the part was let through).

TestFreshAnswerContradictsVerdict failed before.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -37,6 +37,7 @@
 	v := Verdict{Traits: best.common}
 	c.convict(now, v.Traits)
 	c.emit(VerdictReached{Verdict: v, Crashes: best.crashes, Suspects: best.suspects})
+	c.contradict(now, v.Traits)
 }
 
 // narrowCrashes returns the number of crashes that narrow a verdict. A small sample does not tell which traits are popular.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -44,6 +44,8 @@
 	maxNarrowChance = 0.05
 	// rareShare is the share of the traffic that is assumed for a trait that was not seen among a few requests.
 	rareShare = 0.0133
+	// freshAnswer is how long before a verdict an answer contradicts it.
+	freshAnswer = 3 * core.Second
 	// crashWindow is how long a broken connection of a server counts as the same crash. Servers take seconds to restart.
 	crashWindow = core.Second
 	// evidenceTTL is how long a crash counts.
@@ -96,6 +98,12 @@
 	suspects [][]Trait
 }
 
+// answered is a request whose answer began.
+type answered struct {
+	at     core.Micros
+	traits []Trait
+}
+
 type verdict struct {
 	traits []Trait
 	made   core.Micros
@@ -115,8 +123,8 @@
 	verdicts  []*verdict // oldest first
 	// lifted holds the time at which a verdict was lifted or narrowed, by the hash of its traits.
 	lifted map[Trait]core.Micros
-	// recent holds the traits of the newest requests that were answered, in a ring.
-	recent [][]Trait
+	// recent holds the newest requests that were answered, in a ring.
+	recent []answered
 	next   int
 	out    []Effect
 }
@@ -140,7 +148,7 @@
 			c.judge(e.Now, e.Traits)
 		}
 	case AnswerBegan:
-		c.remember(e.Traits)
+		c.remember(answered{e.Now, e.Traits})
 		if sound := c.underSuspicion(e.Traits); len(sound) > 0 {
 			c.clear(e.Now, sound)
 			c.emit(AnnounceSound{Traits: sound})
@@ -198,12 +206,12 @@
 }
 
 // remember adds a request to the sample of the traffic.
-func (c *Core) remember(traits []Trait) {
+func (c *Core) remember(a answered) {
 	if len(c.recent) < recentRequests {
-		c.recent = append(c.recent, traits)
+		c.recent = append(c.recent, a)
 		return
 	}
-	c.recent[c.next] = traits
+	c.recent[c.next] = a
 	c.next = (c.next + 1) % recentRequests
 }
 
@@ -211,8 +219,8 @@
 // answered, and whether any of them has it.
 func (c *Core) share(t Trait) (share float64, seen bool) {
 	count := 0.0
-	for _, traits := range c.recent {
-		if slices.Contains(traits, t) {
+	for i := range c.recent {
+		if slices.Contains(c.recent[i].traits, t) {
 			count++
 		}
 	}
@@ -364,6 +372,24 @@
 	}
 	c.convict(made, heard.Traits)
 	c.emit(VerdictAdopted{Verdict: heard})
+	c.contradict(now, heard.Traits)
+}
+
+// contradict clears those traits of a new verdict that a request had which this daemon saw answered shortly before. A daemon
+// that has seen few requests may take a popular trait for a rare one.
+func (c *Core) contradict(now core.Micros, traits []Trait) {
+	var sound []Trait
+	for _, t := range traits {
+		if slices.ContainsFunc(c.recent, func(a answered) bool {
+			return a.at+freshAnswer > now && slices.Contains(a.traits, t)
+		}) {
+			sound = append(sound, t)
+		}
+	}
+	if len(sound) > 0 {
+		c.clear(now, sound)
+		c.emit(AnnounceSound{Traits: sound})
+	}
 }
 
 // soundOf returns the traits of a lifted verdict that no suspect or verdict has.
