--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -23,6 +23,8 @@
 	// minPerSecond is the smallest limit that is applied. A server that names a smaller one gets a request now and then, whose
 	// answer may name a larger one or none.
 	minPerSecond = 0.25
+	// roundingError is the part of a request by which the sum of many refills may fall short.
+	roundingError = 1e-9
 	// reserveEpoch is how long a reserve holds. The daemons take turns at being first.
 	reserveEpoch = core.Second
 )
@@ -59,7 +61,7 @@
 func (b *Bucket) AdmitsAt(now core.Micros, reserve float64) core.Micros {
 	b.refill(now)
 	missing := 1 + reserve - b.saved
-	if missing <= 0 {
+	if missing <= roundingError {
 		return now
 	}
 	return now + core.Micros(math.Ceil(missing/b.perSecond*float64(core.Second)))
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -32,6 +32,9 @@
 				require.LessOrEqual(t, float64(j+1), most+1e-6)
 			}
 		}
+		for b.Admits(now, 0) {
+			b.Sent(now)
+		}
 		for range 5 {
 			b.Sent(now)
 		}
