--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/harness ] && [ -x ../../target/carobedge ] || { echo "run review/build.sh and the build of deploy/system.toml first" >&2; exit 2; }
-exec ../bin/harness -case term -program ../../target/carobedge -record record.txt
+exec ../bin/harness -case drain -program ../../target/carobedge -record record.txt
