--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -30,6 +30,8 @@
 	status int
 	stamp  string
 	body   string
+	// kept is set if the channel had served a request before.
+	kept bool
 	// whole is set if the response was complete.
 	whole bool
 	err   error
@@ -41,6 +43,28 @@
 	daemon *daemon
 	conn   net.Conn
 	reader *bufio.Reader
+	// link bounds the rate of the channel; nil for none.
+	link *link
+}
+
+// chunkBytes is the unit in which a request is sent over a link.
+const chunkBytes = 64 << 10
+
+// write sends the bytes of a request.
+func (c *client) write(data []byte) error {
+	if c.link == nil {
+		_, err := c.conn.Write(data)
+		return err
+	}
+	for len(data) > 0 {
+		n := min(len(data), chunkBytes)
+		c.link.wait(n)
+		if _, err := c.conn.Write(data[:n]); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
 }
 
 func (c *client) close() {
@@ -81,7 +105,7 @@
 		text.WriteString("Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n")
 	}
 	text.WriteString("\r\n" + q.body)
-	if _, err := c.conn.Write(text.Bytes()); err != nil {
+	if err := c.write(text.Bytes()); err != nil {
 		c.close()
 		out.err = err
 		return out
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -24,42 +25,41 @@
 // reserveDaemon chooses the addresses of a daemon.
 func reserveDaemon(e *env, name, zone string) *daemon {
 	d := &daemon{env: e, name: name, zone: zone, settings: filepath.Join(e.dir, name+".json")}
-	d.caller, d.ready, d.service, d.metrics = freeTCP(), freeTCP(), freeTCP(), freeTCP()
-	d.packet = freeUDP()
+	d.caller, d.ready, d.service, d.metrics, d.packet = freePort(), freePort(), freePort(), freePort(), freePort()
 	return d
 }
 
-var (
-	reserved []net.Listener
-	packets  []net.PacketConn
+// Daemons get ports below the ephemeral ones, which outgoing connections take.
+const (
+	firstPort = 21_000
+	lastPort  = 31_000
 )
 
-func freeTCP() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal("free port: %v", err)
-	}
-	reserved = append(reserved, l)
-	return l.Addr().String()
-}
-
-func freeUDP() string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		fatal("free port: %v", err)
-	}
-	packets = append(packets, c)
-	return c.LocalAddr().String()
-}
+// nextPort is the next port to try. Processes that run at the same time begin at different ones.
+var nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
 
-// releasePorts frees the ports that were chosen, for the daemons to open.
-func releasePorts() {
-	for _, l := range reserved {
+// freePort returns an address on which no process listens, over TCP or UDP.
+func freePort() string {
+	for range lastPort - firstPort {
+		address := "127.0.0.1:" + strconv.Itoa(nextPort)
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		_ = l.Close()
-	}
-	for _, c := range packets {
+		c, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
 		_ = c.Close()
+		return address
 	}
+	fatal("no free port from %d to %d", firstPort, lastPort)
+	return ""
 }
 
 // writeSettings writes the settings that deploy/settings.json.tmpl makes of the platform's file of a small deployment.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -39,6 +39,8 @@
 	store        *store
 	daemons      []*daemon
 	closing      atomic.Bool
+	// life is held while a process is started again and while closing is set.
+	life sync.Mutex
 
 	mu     sync.Mutex
 	out    *os.File
@@ -97,7 +99,6 @@
 	for _, d := range e.daemons[:min(3, len(e.daemons))] {
 		seeds = append(seeds, d.service)
 	}
-	releasePorts()
 	for _, d := range e.daemons {
 		d.writeSettings(seeds, storeAddress)
 		d.start()
@@ -105,7 +106,7 @@
 	deadline := time.Now().Add(10 * time.Second)
 	for _, d := range e.daemons {
 		for !d.isReady() {
-			if time.Now().After(deadline) {
+			if isClosed(d.exited) || time.Now().After(deadline) {
 				fatal("%s is not ready", d.name)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -115,7 +116,9 @@
 
 // stop ends all processes that the case has started.
 func (e *env) stop() {
+	e.life.Lock()
 	e.closing.Store(true)
+	e.life.Unlock()
 	for _, d := range e.daemons {
 		d.kill()
 	}
@@ -156,9 +159,11 @@
 
 func main() {
 	cases := map[string]func(*env) bool{
-		"drain": drainCase, "term": termCase,
+		"drain": drainCase, "term": termCase, "memory": memoryCase,
 		"crash":        func(e *env) bool { return crashCase(e, false) },
 		"crash-before": func(e *env) bool { return crashCase(e, true) },
+		"part":         func(e *env) bool { return partCase(e, 18) },
+		"part-early":   func(e *env) bool { return partCase(e, 3) },
 	}
 	name := flag.String("case", "", "the case to play")
 	program := flag.String("program", "", "carobedge as the deploy file builds it")
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// maxKeptBody is how much of a body is kept.
+const maxKeptBody = 4 << 10
+
 // run is a request that a server began to work on.
 type run struct {
 	requestID string
@@ -133,7 +136,10 @@
 		w.Header().Set("X-Instance", id)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxKeptBody))
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+	}
 	if err != nil {
 		return
 	}
