--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -102,3 +103,36 @@
 		}
 	}
 }
+
+// Guards against days on which the largest prompts of a deployment of five failure domains are starved: on each day the largest
+// tenth and the fifth below it are to be served at least 0.7 as often as the whole kind.
+func TestLargestPromptsAreServedOnEachDay(t *testing.T) {
+	const leastShare = 0.7
+	zoneLoads := []float64{1.02, 0.96, 0.99, 1.17, 0.87}
+	for day := range uint64(3) {
+		t.Run(fmt.Sprint(day), func(t *testing.T) {
+			t.Parallel()
+			served, count := map[string]int{}, map[string]int{}
+			for zone, load := range zoneLoads {
+				s := classroom(200 + day*uint64(len(zoneLoads)) + uint64(zone))
+				for i := range s.Kinds {
+					s.Kinds[i].PerSecond *= load
+				}
+				r := Run(s)
+				for _, group := range [][]Share{r.Kinds, r.Large, r.Largest} {
+					for _, share := range group {
+						served[share.Name] += share.OnTime + share.Late
+						count[share.Name] += share.Count
+					}
+				}
+			}
+			share := func(name string) float64 { return float64(served[name]) / float64(count[name]) }
+			for _, k := range classroom(0).Kinds {
+				for _, part := range []string{", largest tenth", ", next fifth"} {
+					t.Logf("%s served %.2f, %s%s %.2f of %d", k.Name, share(k.Name), k.Name, part, share(k.Name+part), count[k.Name+part])
+					require.GreaterOrEqual(t, share(k.Name+part), leastShare*share(k.Name), "%s%s", k.Name, part)
+				}
+			}
+		})
+	}
+}
