dispatch: the largest prompts wait in one queue for the cell and start on free engines

Cause: a placement is charged for each engine's queue beyond 700 ms. A prompt of 500,000 tokens takes 1.5 s on each of 17 engines, 82 units for the queues of a benefit of 43, so it was refused while engines stood free; each daemon judged alone, and short requests spread over all engines while it waited, so that 17 without short streams never came together. Class: a cost that stands for an average load is charged to a request that it can never suit, and contenders that cannot see one another.

More load is not the first cause: a domain at load 0.87 starves them too.

Change: prompts whose part takes over 700 ms on each of 17 engines (wide prompts) wait in one queue of the cell, which their daemons announce. The first starts on 17 engines without shorter pause targets and is not charged for queues; while one waits, short requests count 17 more engines as needed. One that cannot be read before its caller leaves is refused at once. Places lapse 2.5 s after the last announcement.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -50,6 +50,8 @@
 	waiting      []*Work
 	prefillLoads prefillLoadList
 	standings    standings
+	// wideQueue holds the waiting wide prompts of all daemons of this cell.
+	wideQueue map[uint64]*queuedPrompt
 	// daemons is the number of daemons of this cell, allDaemons that of all cells.
 	daemons, allDaemons int
 	// seed distinguishes this daemon from others.
@@ -80,7 +82,7 @@
 func New(domain, name string) *Core {
 	return &Core{
 		domain: domain, seed: xxhash.Sum64String(name), servers: map[string]*server{}, services: map[string]*service{},
-		jobs: map[uint64]*job{}, standings: standings{}, daemons: 1, ahead: map[string]int{},
+		jobs: map[uint64]*job{}, standings: standings{}, wideQueue: map[uint64]*queuedPrompt{}, daemons: 1, ahead: map[string]int{},
 	}
 }
 
@@ -147,14 +149,19 @@
 		if j := c.jobs[e.ID]; j != nil && j.peer != "" {
 			c.firstEvent(j, e.Now)
 		}
+	case PeerQueued:
+		c.peerQueued(e)
 	case PeerEnded:
+		delete(c.wideQueue, e.ID)
 		if j := c.jobs[e.ID]; j != nil && j.peer != "" {
 			c.endJob(j)
 		}
 	case PeerJobs:
 		c.endPeerJobs(e.Peer, e.IDs)
+		c.dropQueued(e.Peer, e.IDs)
 	case PeerRestarted:
 		c.endPeerJobs(e.Peer, nil)
+		c.dropQueued(e.Peer, nil)
 	default:
 		panic(fmt.Sprintf("dispatch: event of type %T", ev))
 	}
@@ -208,6 +215,7 @@
 
 func (c *Core) cancelled(e Cancelled) {
 	c.waiting = slices.DeleteFunc(c.waiting, func(w *Work) bool { return w.ID == e.ID })
+	c.leaveWideQueue(e.ID)
 	if j := c.jobs[e.ID]; j != nil {
 		c.endJob(j)
 		c.emit(AnnounceEnd{ID: e.ID})
@@ -272,8 +280,14 @@
 	}
 }
 
-// expirePeerJobs ends jobs of peers that have passed their deadline and grace period without a message about their end.
+// expirePeerJobs ends jobs of peers that have passed their deadline and grace period without a message about their end, and
+// removes lapsed places in the queue of wide prompts.
 func (c *Core) expirePeerJobs(now core.Micros) {
+	for id, q := range c.wideQueue {
+		if q.peer != "" && q.lapses <= now {
+			delete(c.wideQueue, id)
+		}
+	}
 	var ended []*job
 	for _, j := range c.jobs {
 		if j.peer != "" && j.expires <= now {
@@ -286,6 +300,7 @@
 }
 
 func (c *Core) peerPlaced(e PeerPlaced) {
+	delete(c.wideQueue, e.Job.ID)
 	lead := c.servers[e.Job.Lead]
 	if lead == nil || c.jobs[e.Job.ID] != nil {
 		return
@@ -391,6 +406,7 @@
 }
 
 func (c *Core) assign(now core.Micros, w *Work, o *option) {
+	delete(c.wideQueue, w.ID) // the announcement of the job ends the place
 	j := &job{
 		id: w.ID, service: w.Service, lead: o.lead.server, prompt: w.Prompt, answer: w.Answer, maxPause: w.MaxPause,
 		firstEventDue: w.FirstEventDue, expires: w.Deadline, benefit: estimateBenefit(w.Prompt, w.Answer), placed: now,
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -78,17 +78,23 @@
 		Peer string
 		Job  Job
 	}
+	// PeerQueued announces a wide prompt of a peer that waits.
+	PeerQueued struct {
+		Now    core.Micros
+		Peer   string
+		Queued Queued
+	}
 	// PeerFirst reports that the prompt of a peer's job has been prefilled.
 	PeerFirst struct {
 		Now core.Micros
 		ID  uint64
 	}
-	// PeerEnded ends a peer's job.
+	// PeerEnded ends a peer's job, or the wait of its wide prompt.
 	PeerEnded struct {
 		Now core.Micros
 		ID  uint64
 	}
-	// PeerJobs lists all jobs that a peer still runs; its other jobs have ended.
+	// PeerJobs lists all jobs that a peer still runs and its wide prompts that wait; its others have ended.
 	PeerJobs struct {
 		Now  core.Micros
 		Peer string
@@ -121,6 +127,7 @@
 func (PeerSawLeaving) event()     {}
 func (PeerSawLimit) event()       {}
 func (PeerPlaced) event()         {}
+func (PeerQueued) event()         {}
 func (PeerFirst) event()          {}
 func (PeerEnded) event()          {}
 func (PeerJobs) event()           {}
@@ -148,11 +155,15 @@
 		Job   Job
 		ToAll bool `json:",omitempty"`
 	}
+	// AnnounceQueued informs the peers that a wide prompt waits.
+	AnnounceQueued struct {
+		Queued Queued
+	}
 	// AnnounceFirst informs the peers that the prompt of a job has been prefilled.
 	AnnounceFirst struct {
 		ID uint64
 	}
-	// AnnounceEnd informs the peers that a job has ended.
+	// AnnounceEnd informs the peers that a job has ended, or that a wide prompt no longer waits.
 	AnnounceEnd struct {
 		ID uint64
 	}
@@ -180,6 +191,7 @@
 func (Assign) effect()          {}
 func (Refuse) effect()          {}
 func (Announce) effect()        {}
+func (AnnounceQueued) effect()  {}
 func (AnnounceFirst) effect()   {}
 func (AnnounceEnd) effect()     {}
 func (AnnounceLeaving) effect() {}
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -70,7 +70,7 @@
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now += core.Micros(rapid.IntRange(0, 300_000).Draw(t, "pause"))
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 10).Draw(t, "event") {
 			case 0, 1, 2:
 				w := randomWork(t, nextID, now)
 				waiting[nextID] = w
@@ -101,14 +101,18 @@
 			case 8:
 				step(PeerJobs{Now: now, Peer: "b"})
 			case 9:
-				ev := serversChangedEvent(rapid.IntRange(1, 6).Draw(t, "engines"), 2)
+				ev := serversChangedEvent(rapid.SampledFrom([]int{1, 2, 5, 6, 20}).Draw(t, "engines"), 2)
 				ev.Now = now
 				ev.Servers[0].Leaving = rapid.Bool().Draw(t, "leaving")
 				step(ev)
+			case 10:
+				step(peerQueued(now, nextID, core.Micros(rapid.IntRange(0, 12_000_000).Draw(t, "end_in"))))
+				nextID++
 			}
 		}
 		now += 20 * second
 		step(Tick{Now: now})
+		require.Empty(t, c.wideQueue)
 		require.Empty(t, waiting, "requests still wait after every caller gave up")
 	})
 }
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -208,7 +208,7 @@
 			free++
 		}
 	}
-	needed := prefillHeadroom * c.prefillLoads.load(now, w.Service, w.MaxPause)
+	needed := prefillHeadroom*c.prefillLoads.load(now, w.Service, w.MaxPause) + c.wideDemand(now, w)
 	spare := (free - needed) / spareEngines
 	return min(1, max(minFreeEngineDemand, 1-spare))
 }
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -30,14 +30,24 @@
 	}
 }
 
+// refuse ends a waiting request.
+func (c *Core) refuse(w *Work, retryAfter core.Micros, reason string) {
+	c.leaveWideQueue(w.ID)
+	c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
+}
+
 // assignOrRefuse reports whether the request was assigned or refused; otherwise it keeps waiting. ahead is the number of waiting
 // requests for the same service that come before it.
 func (c *Core) assignOrRefuse(now core.Micros, w *Work, ahead int) bool {
 	svc := c.services[w.Service]
 	if svc == nil {
-		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: "no server of the service is known"})
+		c.refuse(w, retryAfter, "no server of the service is known")
 		return true
 	}
+	if svc.isWide(w) {
+		return c.assignOrRefuseWide(now, w, svc, ahead)
+	}
+	c.leaveWideQueue(w.ID) // engines may have left since it queued
 	o := c.bestOption(now, w, svc)
 	reason := "all servers of the service are full or away"
 	if o != nil && svc.Model != nil {
@@ -60,11 +70,11 @@
 		return true
 	}
 	if o == nil && !svc.canHold(w) {
-		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfterShortage, Reason: "the prompt exceeds the memory of all engines"})
+		c.refuse(w, retryAfterShortage, "the prompt exceeds the memory of all engines")
 		return true
 	}
 	if o == nil && now-w.Arrived > svc.longestWait(w) {
-		c.emit(Refuse{ID: w.ID, RetryAfter: retryAfter, Reason: reason})
+		c.refuse(w, retryAfter, reason)
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/dispatch/wide.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/carobstile/carobstile/internal/core"
+)
+
+const (
+	// wideQueueLease is how long a peer's queued prompt keeps its place without being announced again. Summaries repeat it
+	// every second at most.
+	wideQueueLease = 2500 * core.Millisecond
+	// idleWithin is the pending prefill, in milliseconds, up to which an engine counts as free for a wide prompt.
+	idleWithin = 150
+	// maxWideLossShare is the share of its benefit that a wide prompt may cost the running requests of free engines.
+	maxWideLossShare = 0.5
+)
+
+// A wide prompt occupies all engines that may read it for longer than queueThresholdMs. It needs many engines that have little
+// else to do, and requests that came later would take each of them as it frees. Wide prompts therefore wait in one queue for all
+// daemons of the cell, ordered by the time at which their callers leave, and the first one starts once enough engines without
+// requests of a shorter pause target are free. Each daemon announces its own entries and repeats them in its summaries; the
+// entry of a daemon that falls silent lapses after wideQueueLease. Daemons whose views differ may start two prompts at a time,
+// which delays both.
+
+// Queued is a waiting wide prompt as announced between daemons.
+type Queued struct {
+	ID      uint64
+	Service string
+	Prompt  int
+	// EndIn is the remaining time until the caller leaves.
+	EndIn core.Micros
+}
+
+// queuedPrompt is a place in the queue of wide prompts.
+type queuedPrompt struct {
+	id      uint64
+	peer    string // empty for this daemon
+	service string
+	cost    float64 // of the whole prefill, ms
+	end     core.Micros
+	// lapses is when the place is given up unless the peer announces it again.
+	lapses core.Micros
+}
+
+// before reports whether q comes before other in the queue.
+func (q *queuedPrompt) before(other *queuedPrompt) bool {
+	return cmp.Or(cmp.Compare(q.end, other.end), cmp.Compare(q.id, other.id)) < 0
+}
+
+// isWide reports whether a prompt waits in the queue of wide prompts. With few engines there are hardly ever enough free ones.
+func (s *service) isWide(w *Work) bool {
+	return s.Model != nil && len(s.servers) > fewEngines && s.Model.PrefillMs(w.Prompt) > queueThresholdMs*(maxHelpers+1)
+}
+
+// leavesAt is when the caller of a request leaves without a first event.
+func (w *Work) leavesAt() core.Micros { return min(w.AbandonAt, w.Deadline) }
+
+// enqueueWide returns the place of a request of this daemon in the queue of wide prompts.
+func (c *Core) enqueueWide(now core.Micros, w *Work, svc *service) *queuedPrompt {
+	if q := c.wideQueue[w.ID]; q != nil {
+		return q
+	}
+	q := &queuedPrompt{
+		id: w.ID, service: w.Service, cost: svc.Model.PrefillMs(w.Prompt), end: w.leavesAt(), lapses: w.leavesAt(),
+	}
+	c.wideQueue[w.ID] = q
+	c.emit(AnnounceQueued{Queued: Queued{ID: w.ID, Service: w.Service, Prompt: w.Prompt, EndIn: q.end - now}})
+	return q
+}
+
+// leaveWideQueue gives up the place of a request of this daemon.
+func (c *Core) leaveWideQueue(id uint64) {
+	if c.wideQueue[id] != nil {
+		delete(c.wideQueue, id)
+		c.emit(AnnounceEnd{ID: id})
+	}
+}
+
+func (c *Core) peerQueued(e PeerQueued) {
+	svc := c.services[e.Queued.Service]
+	if svc == nil || svc.Model == nil || c.jobs[e.Queued.ID] != nil {
+		return
+	}
+	end := e.Now + e.Queued.EndIn
+	c.wideQueue[e.Queued.ID] = &queuedPrompt{
+		id: e.Queued.ID, peer: e.Peer, service: e.Queued.Service, cost: svc.Model.PrefillMs(e.Queued.Prompt), end: end,
+		lapses: min(end, e.Now+wideQueueLease),
+	}
+}
+
+// dropQueued removes the queued prompts of a peer except those listed.
+func (c *Core) dropQueued(peer string, except []uint64) {
+	for id, q := range c.wideQueue {
+		if q.peer == peer && !slices.Contains(except, id) {
+			delete(c.wideQueue, id)
+		}
+	}
+}
+
+// QueuedPrompts returns the wide prompts of this daemon that wait, in no particular order.
+func (c *Core) QueuedPrompts(now core.Micros) []Queued {
+	var out []Queued
+	for _, w := range c.waiting {
+		if q := c.wideQueue[w.ID]; q != nil {
+			out = append(out, Queued{ID: w.ID, Service: w.Service, Prompt: w.Prompt, EndIn: q.end - now})
+		}
+	}
+	return out
+}
+
+// QueueLength returns the number of wide prompts of all daemons of the cell that wait, as known here.
+func (c *Core) QueueLength() int { return len(c.wideQueue) }
+
+// aheadOf returns the total prefill time in milliseconds of the wide prompts that come before q, and their number.
+func (c *Core) aheadOf(now core.Micros, q *queuedPrompt) (cost float64, count int) {
+	for _, other := range c.wideQueue {
+		if other != q && other.service == q.service && other.lapses > now && other.before(q) {
+			cost += other.cost
+			count++
+		}
+	}
+	return cost, count
+}
+
+// wideDemand returns the number of engines that the first wide prompt in the queue of a service needs, other than the given
+// request.
+func (c *Core) wideDemand(now core.Micros, w *Work) float64 {
+	for id, q := range c.wideQueue {
+		if id != w.ID && q.service == w.Service && q.lapses > now {
+			return maxHelpers + 1
+		}
+	}
+	return 0
+}
+
+// assignOrRefuseWide is assignOrRefuse for wide prompts.
+func (c *Core) assignOrRefuseWide(now core.Micros, w *Work, svc *service, ahead int) bool {
+	if !svc.canHold(w) {
+		c.refuse(w, retryAfterShortage, "the prompt exceeds the memory of all engines")
+		return true
+	}
+	if c.refuseInShortage(now, w, svc, ahead) {
+		c.leaveWideQueue(w.ID)
+		return true
+	}
+	q := c.enqueueWide(now, w, svc)
+	aheadMs, count := c.aheadOf(now, q)
+	if count == 0 {
+		if o := c.wideOption(now, w, svc); o != nil {
+			c.assign(now, w, o)
+			return true
+		}
+	}
+	wait := micros(aheadMs / float64(len(svc.servers)))
+	if now+wait+micros(q.cost/(maxHelpers+1)) > q.end {
+		c.refuse(w, max(retryAfter, wait), "the prompts that wait and this one take longer to read than its caller waits")
+		return true
+	}
+	return false
+}
+
+// wideOption plans the first prompt of the queue, or returns nil if it should wait.
+func (c *Core) wideOption(now core.Micros, w *Work, svc *service) *option {
+	o := c.freeEnginesOption(now, w, svc)
+	if o == nil {
+		o = c.bestOption(now, w, svc)
+		if o == nil || o.loss >= c.admissionLimit(now, svc, w) || c.shouldWait(now, w, o) {
+			return nil
+		}
+	}
+	if now+micros(o.firstMs) > w.leavesAt() {
+		return nil
+	}
+	return o
+}
+
+// freeEnginesOption plans a wide prompt on engines that are free, without a charge for the queues that it leaves there: the
+// queue of wide prompts bounds these. It returns nil if too few are free.
+func (c *Core) freeEnginesOption(now core.Micros, w *Work, svc *service) *option {
+	cost := svc.Model.PrefillMs(w.Prompt) / (maxHelpers + 1)
+	benefit := estimateBenefit(w.Prompt, w.Answer)
+	free := slices.DeleteFunc(c.candidates(now, w, svc), func(s *candidate) bool {
+		return s.pending > idleWithin || s.hasShortPauseJob(w.MaxPause-1)
+	})
+	if len(free) < maxHelpers+1 {
+		return nil
+	}
+	for _, s := range free {
+		s.queueLossPerMs = 0
+		s.delayLoss = s.predictDelayLoss(now, cost*s.slowdown)
+		s.loss = s.delayLoss + loadLossPerMs*(s.pass+s.pending) + s.failureRate*benefit
+	}
+	slices.SortStableFunc(free, func(a, b *candidate) int { return cmp.Compare(a.loss+a.preference, b.loss+b.preference) })
+	o := memoryOption(svc, w, free)
+	if o == nil {
+		return nil
+	}
+	for _, s := range free {
+		if len(o.helpers) < maxHelpers && s != o.lead && !slices.Contains(o.helpers, s) {
+			o.helpers = append(o.helpers, s)
+		}
+	}
+	for _, s := range append([]*candidate{o.lead}, o.helpers...) {
+		o.firstMs = max(o.firstMs, s.finishMs(cost*s.slowdown))
+		o.transientLoss += s.delayLoss
+	}
+	if o.transientLoss > maxWideLossShare*benefit {
+		return nil
+	}
+	o.loss = o.transientLoss + benefit*ownLatenessLossShare(now, w, o.firstMs)
+	return o
+}
+
+// memoryOption chooses the engines that hold a prompt from free ones, sorted by loss: as few as possible.
+func memoryOption(svc *service, w *Work, free []*candidate) *option {
+	need := w.Prompt + w.Answer
+	for _, s := range free {
+		if s.freeSlots() > 0 && s.freeMemory() >= need && need <= int(math.Floor(float64(svc.Model.KVTokens)*maxShardShare)) {
+			return &option{lead: s}
+		}
+	}
+	for k := fewestShards(svc.Model, w); k <= maxHelpers+1; k++ {
+		if o := evenShards(free, need, k); o != nil {
+			return o
+		}
+	}
+	return nil
+}
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -14,6 +14,7 @@
 	scope := d.metrics.Scope.SubScope("belief")
 	version, servers, leaving := scope.Gauge("config_version"), scope.Gauge("servers"), scope.Gauge("servers_leaving")
 	daemons, open := scope.Gauge("daemons_heard"), scope.Gauge("requests_open")
+	wide := scope.Gauge("wide_prompts_queued")
 	shell.Every(ctx, telemetry.ReportInterval, func(context.Context) {
 		if table := d.table.Load(); table != nil {
 			version.Update(float64(table.Version))
@@ -23,6 +24,7 @@
 		leaving.Update(float64(leavingCount))
 		daemons.Update(float64(len(d.link.Live())))
 		open.Update(float64(d.handler.OpenRequests()))
+		wide.Update(float64(d.scheduler.widePrompts()))
 		d.publishTraffic()
 		for kind, f := range map[string]*directory.Follower{KindConfig: d.config, KindServers: d.serverEntries} {
 			kindScope := scope.Tagged(map[string]string{"kind": kind})
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -42,6 +42,9 @@
 	if restarted {
 		d.scheduler.Step(dispatch.PeerRestarted{Now: now, Peer: peer})
 	}
+	for _, q := range p.GetQueued() {
+		d.scheduler.Step(dispatch.PeerQueued{Now: now, Peer: peer, Queued: decodeQueued(q)})
+	}
 	for _, j := range p.GetPlaced() {
 		d.scheduler.Step(dispatch.PeerPlaced{Now: now, Peer: peer, Job: decodeJob(j)})
 	}
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -146,6 +146,13 @@
 	return s.core.Unreachable(s.now(), server)
 }
 
+// widePrompts returns the number of wide prompts that wait in the cell.
+func (s *scheduler) widePrompts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.QueueLength()
+}
+
 // Step applies an event and performs its effects.
 func (s *scheduler) Step(ev dispatch.Event) {
 	s.mu.Lock()
@@ -165,6 +172,10 @@
 			s.timers.Set("waiting", e.At-s.now(), func() { s.Step(dispatch.Tick{Now: s.now()}) })
 		case dispatch.Announce:
 			s.announceJob(e)
+		case dispatch.AnnounceQueued:
+			s.log.Info("wide prompt queued", "job", e.Queued.ID, "service", e.Queued.Service, "prompt_tokens", e.Queued.Prompt)
+			q := encodeQueued(e.Queued)
+			s.broadcast(true, func(p *carobstilev1.EdgePacket) { p.Queued = append(p.Queued, q) })
 		case dispatch.AnnounceFirst:
 			if j := s.ownJobs[e.ID]; j != nil {
 				j.Decoding = true
@@ -207,6 +218,18 @@
 	s.broadcast(true, add)
 }
 
+func encodeQueued(q dispatch.Queued) *carobstilev1.EdgeQueued {
+	return &carobstilev1.EdgeQueued{
+		Id: q.ID, Service: q.Service, PromptTokens: int64(q.Prompt), EndInMicros: int64(q.EndIn),
+	}
+}
+
+func decodeQueued(q *carobstilev1.EdgeQueued) dispatch.Queued {
+	return dispatch.Queued{
+		ID: q.GetId(), Service: q.GetService(), Prompt: int(q.GetPromptTokens()), EndIn: core.Micros(q.GetEndInMicros()),
+	}
+}
+
 func encodeLimit(l dispatch.PeerSawLimit) *carobstilev1.EdgeLimit {
 	return &carobstilev1.EdgeLimit{
 		Server: l.Process.ID, StartedAt: l.Process.StartedAt, Named: l.Named, PerSecond: l.PerSecond, AgeMicros: int64(l.Age),
@@ -223,7 +246,7 @@
 	}
 }
 
-// fillSummary lists all jobs that this daemon runs. It adds the details of those placed less than jobRepeatPeriod ago,
+// fillSummary lists all jobs that this daemon runs and its queued prompts. It adds the details of those placed less than jobRepeatPeriod ago,
 // or of all if full is set.
 func (s *scheduler) fillSummary(p *carobstilev1.EdgePacket, full bool) {
 	s.mu.Lock()
@@ -236,6 +259,10 @@
 	for _, l := range s.core.LimitChanges(now, now-jobRepeatPeriod, full) {
 		p.Limits = append(p.Limits, encodeLimit(l))
 	}
+	for _, q := range s.core.QueuedPrompts(now) {
+		p.Active = append(p.Active, q.ID)
+		p.Queued = append(p.Queued, encodeQueued(q))
+	}
 	for id, j := range s.ownJobs {
 		p.Active = append(p.Active, id)
 		if full || now-j.placed < jobRepeatPeriod {
--- a/internal/neighbors/split.go
+++ b/internal/neighbors/split.go
@@ -30,6 +30,7 @@
 	first.Completed, rest.Completed = halve(p.GetCompleted(), &divided)
 	first.Limits, rest.Limits = halve(p.GetLimits(), &divided)
 	first.Verdicts, rest.Verdicts = halve(p.GetVerdicts(), &divided)
+	first.Queued, rest.Queued = halve(p.GetQueued(), &divided)
 	if !divided {
 		return []*carobstilev1.EdgePacket{p}
 	}
--- a/internal/neighbors/split_test.go
+++ b/internal/neighbors/split_test.go
@@ -20,6 +20,7 @@
 		p.Completed = append(p.Completed, uint64(i))
 		p.Verdicts = append(p.Verdicts, &carobstilev1.EdgeVerdict{Traits: []uint64{uint64(i)}})
 		p.Limits = append(p.Limits, &carobstilev1.EdgeLimit{Server: "s"})
+		p.Queued = append(p.Queued, &carobstilev1.EdgeQueued{Service: "s"})
 		p.Ended = append(p.Ended, uint64(i))
 		p.Placed = append(p.Placed, &carobstilev1.EdgeJob{Id: uint64(i), Service: "engines"})
 	}
@@ -41,6 +42,7 @@
 	require.Len(t, merged.GetCompleted(), count)
 	require.Len(t, merged.GetVerdicts(), count)
 	require.Len(t, merged.GetLimits(), count)
+	require.Len(t, merged.GetQueued(), count)
 	require.Len(t, merged.GetEnded(), count)
 	require.Len(t, merged.GetPlaced(), count)
 	require.Len(t, split(&carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: string(make([]byte, limit+1))}}, limit), 1,
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -219,6 +219,10 @@
 			s.tellOthers(daemon, func() dispatch.Event {
 				return dispatch.PeerPlaced{Now: s.now, Peer: fmt.Sprint(daemon), Job: e.Job}
 			})
+		case dispatch.AnnounceQueued:
+			s.tellOthers(daemon, func() dispatch.Event {
+				return dispatch.PeerQueued{Now: s.now, Peer: fmt.Sprint(daemon), Queued: e.Queued}
+			})
 		case dispatch.AnnounceFirst:
 			s.tellOthers(daemon, func() dispatch.Event { return dispatch.PeerFirst{Now: s.now, ID: e.ID} })
 		case dispatch.AnnounceEnd:
