--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -38,6 +38,7 @@
 	plainTimeout  = 1500 * time.Millisecond
 	streamTimeout = 4 * time.Second
 	longTimeout   = 6 * time.Second
+	wideTimeout   = 8 * time.Second
 	maxAttempts   = 2
 )
 
@@ -49,6 +50,9 @@
 	{"again", "/again/", plainService, standin.Idempotent, 3, maxAttempts, plainTimeout, 0},
 }
 
+// wideKind is sent only where there are minWideEngines: dispatch queues prompts of this length until many engines are free.
+var wideKind = &requestKind{"wide", "/widestream/", engineService, standin.Streaming, 0, maxAttempts, wideTimeout, widePromptTokens}
+
 // dynamicKind returns the kind for requests that use a route or key which the run adds and removes; prefix is that of the route.
 func dynamicKind(prefix string) *requestKind {
 	return &requestKind{
@@ -62,6 +66,8 @@
 	meanCallerPause = 100 * time.Millisecond
 	// dynamicShare is the share of requests that use a route or key which the run adds and removes.
 	dynamicShare = 0.15
+	// wideShare is the share of wide prompts among the other requests.
+	wideShare = 0.01
 	// topics is the number of popular parts of prompts, and deadlyShare the share of prompts that get a deadly part.
 	topics      = 20
 	deadlyShare = 0.1
@@ -171,6 +177,9 @@
 }
 
 func (c *caller) drawKind() *requestKind {
+	if c.cluster.hasWidePrompts() && c.random.Float64() < wideShare {
+		return wideKind
+	}
 	total := 0
 	for _, k := range requestKinds {
 		total += k.weight
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -32,10 +32,13 @@
 	// engineMemoryTokens is small, so that longPromptTokens needs reservations on several engines.
 	engineMemoryTokens = 60_000
 	longPromptTokens   = 90_000
-	shortPromptTokens  = 2_000
-	answerTokens       = 100
-	streamEvents       = 12
-	eventInterval      = 60 * time.Millisecond
+	// widePromptTokens and minWideEngines are the length of a wide prompt of dispatch and the engines that it needs.
+	widePromptTokens  = 400_000
+	minWideEngines    = 17
+	shortPromptTokens = 2_000
+	answerTokens      = 100
+	streamEvents      = 12
+	eventInterval     = 60 * time.Millisecond
 	// daemonMemoryMB is the memory of the smallest host of the platform.
 	daemonMemoryMB = 184
 	// Daemon settings from the platform's specification sheets. The allowance is lower, so that small runs detect an exceeded
@@ -95,6 +98,9 @@
 	for _, k := range requestKinds {
 		c.routes[k.name] = k.route()
 	}
+	if s.Engines >= minWideEngines {
+		c.routes[wideKind.name] = wideKind.route()
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
@@ -119,6 +125,14 @@
 	return c, nil
 }
 
+// hasWidePrompts reports whether callers send wide prompts.
+func (c *cluster) hasWidePrompts() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.routes[wideKind.name]
+	return ok
+}
+
 func (c *cluster) addBackend(service string, slots int) error {
 	link, err := newProxy("")
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -133,6 +133,21 @@
 	}})
 }
 
+// Guards against wide prompts whose place in the queue outlives the daemon that owned it, or that run twice or keep memory, while
+// daemons are killed, frozen and stopped and engines crash.
+func TestWidePromptsUnderFaults(t *testing.T) {
+	t.Parallel()
+	requireNoViolations(t, Schedule{Seed: 6, Daemons: 6, Engines: 20, Plain: 3, Callers: 24, FaultsMs: 9_000, Faults: []Fault{
+		{AtMs: 500, Kind: DaemonKill, Target: 0, ForMs: 500},
+		{AtMs: 1_500, Kind: DaemonFreeze, Target: 1, ForMs: 2_500},
+		{AtMs: 3_000, Kind: ServerCrash, Target: 4, ForMs: 500},
+		{AtMs: 3_200, Kind: DaemonStop, Target: 2, ForMs: 200},
+		{AtMs: 5_000, Kind: ServerDrain, Target: 7, ForMs: 500},
+		{AtMs: 6_000, Kind: DaemonsLost, Target: 5, Variant: lostKilled, ForMs: 1_500},
+		{AtMs: 8_000, Kind: DaemonReload, Target: 3},
+	}})
+}
+
 // scheduleOfEveryFault returns a schedule with each variant of each kind of fault. The variants of ServerFault cover all
 // engines and plain servers.
 func scheduleOfEveryFault() Schedule {
