--- a/internal/dispatch/wide.go
+++ b/internal/dispatch/wide.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// wideQueueLease is how long a peer's queued prompt keeps its place without being announced again. Summaries repeat it
-	// every second at most.
+	// wideQueueLease is how long a peer's queued prompt keeps its place without being announced again. Its daemon repeats
+	// it in each summary, at least once a second.
 	wideQueueLease = 2500 * core.Millisecond
 	// idleWithin is the pending prefill, in milliseconds, up to which an engine counts as free for a wide prompt.
 	idleWithin = 150
@@ -125,8 +125,8 @@
 	return cost, count
 }
 
-// wideDemand returns the number of engines that the first wide prompt in the queue of a service needs, other than the given
-// request.
+// wideDemand returns the number of engines that should come free for the queue of a service: those of one wide prompt, if any
+// other than the given request waits.
 func (c *Core) wideDemand(now core.Micros, w *Work) float64 {
 	for id, q := range c.wideQueue {
 		if id != w.ID && q.service == w.Service && q.lapses > now {
@@ -162,7 +162,8 @@
 	return false
 }
 
-// wideOption plans the first prompt of the queue, or returns nil if it should wait.
+// wideOption plans the first prompt of the queue, on free engines or else by the rule for all other prompts. It returns nil if
+// the prompt should wait.
 func (c *Core) wideOption(now core.Micros, w *Work, svc *service) *option {
 	o := c.freeEnginesOption(now, w, svc)
 	if o == nil {
