Show that a few large entries make edges grow until they are killed

Cause: neighbors.split calls itself without end on a packet over 60,000 bytes whose only list has one element, which a delta of several large entries of the servers is.

--- a/review/harness-2/edge.go
+++ b/review/harness-2/edge.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -61,7 +62,7 @@
 func (c *cluster) settingsOf(name, zone string, seeds []string, ports [5]string) map[string]any {
 	return map[string]any{
 		"name": name, "failureDomain": zone, "callerAddress": ports[0], "readyAddress": ports[1], "serviceAddress": ports[2],
-		"packetAddress": ports[3], "metricsAddress": ports[4], "seeds": seeds, "storeAddress": c.store.address(), "memoryMB": 284,
+		"packetAddress": ports[3], "metricsAddress": ports[4], "seeds": seeds, "storeAddress": c.store.address(), "memoryMB": memoryMB,
 		"stopGraceSeconds": 8, "drainNoticeMS": 2000, "configBoundMS": 2000, "maxFiles": 4100,
 		"retry": map[string]any{"ratio": 0.2, "allowance": 106, "windowSeconds": 10},
 	}
@@ -143,6 +144,21 @@
 	}
 }
 
+// residentMB returns the memory of the process, 0 if it has ended.
+func (e *edge) residentMB() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kb >> 10
+		}
+	}
+	return 0
+}
+
 func (e *edge) waitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -34,7 +34,10 @@
 
 // cases maps names to what plays them. trouble is false for the run without the disruption. A case returns whether its rule held.
 var cases = map[string]func(c *cluster, r *record, trouble bool) (bool, error){
-	"stamp": playStamp,
+	"stamp":    playStamp,
+	"refused":  playRefused,
+	"latebody": playLateBody,
+	"entries":  playEntries,
 }
 
 func main() {
