--- a/review/harness-2/refused.go
+++ b/review/harness-2/refused.go
@@ -63,6 +63,7 @@
 			switch {
 			case out.status == http.StatusOK:
 				served++
+				r.line("bell-push %s (%s) ran at %s and got %d", ran.id, pushes[ran.id], ran.server, out.status)
 			case promisesNotRun(out.status):
 				violations++
 				r.line("REFUSED: bell-push %s ran at %s, which answered %d without X-Not-Run; the caller got %d, X-Stamp %q",
