--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/harness-2"
 mkdir -p ../../target/review-2
 GOWORK=off go build -o ../../target/review-2/rig .
+cd ../..
+go build -o target/review-2/carobsoak ./cmd/carobsoak
