review: a stream of a sound server that is silent for a second is cut

Cause: the stall detector of internal/forward cancels an attempt before there is a place in the retry budget for the next one. A process has none of the allowance in its first 13 s, so that the stream then ends. Two slow reports in a row make all daemons take the engine for unreachable, which shortens the wait from 1.6 s to 0.4 s.

The ports of the daemons are now taken below the ephemeral range: one run beside a soak could not start a daemon (exit 2).

--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -73,20 +74,32 @@
 	return d, nil
 }
 
+// The ports of daemons are below those that the system gives to outgoing connections, which could otherwise take one between the check
+// and the daemon's start.
+const firstPort, lastPort = 12_000, 32_000
+
+// usedAddresses holds the addresses given out so far.
+var usedAddresses = map[string]bool{}
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (string, error) {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if usedAddresses[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := l.Addr().String()
-		u, err := net.ListenPacket("udp", address)
 		_ = l.Close()
-		if err == nil {
-			_ = u.Close()
-			return address, nil
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
 		}
+		_ = u.Close()
+		usedAddresses[address] = true
+		return address, nil
 	}
 	return "", fmt.Errorf("%w: no free port", errSetUp)
 }
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"store-restored": storeRestored,
+	"silent-server":  silentServer,
 }
 
 func main() { os.Exit(play()) }
