review: a deadly part of a prompt is found too late soon after a start

Cause: quarantine takes a part that no answered request of the daemon's own sample had for one of up to 1.33% of the requests until the sample holds 150 complete answers. With 14 streams on each engine ten crashes are then no evidence yet.

Case 12: three daemons, eight engines that are back after 3 s, one prompt with the part each 3.9 s.

Case 12 as it was (the silent engine) is case 14. The program of case 13 comes along, as both use the same stand-ins.

--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -25,6 +25,15 @@
 	// tokens is the value of X-Token-Count, events the number of events wanted; "" and 0 for requests that are no prompts.
 	tokens string
 	events int
+	// part, unless empty, is a part of the prompt between the one that all share and its own.
+	part string
+}
+
+func (c call) partField() string {
+	if c.part == "" {
+		return ""
+	}
+	return c.part + ":200,"
 }
 
 // result is what a requester saw.
@@ -63,7 +72,8 @@
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nApi-Key: %s\r\n",
 		c.method, c.path, host, out.id, c.deadline.Milliseconds(), c.key)
 	if c.tokens != "" {
-		fmt.Fprintf(&head, "X-Model: m\r\nX-Token-Count: %s\r\nX-Prompt-Prefix: 5c1e07a2:40,%s:1000\r\nX-Length-Hint: %d\r\n", c.tokens, out.id, c.events)
+		fmt.Fprintf(&head, "X-Model: m\r\nX-Token-Count: %s\r\nX-Prompt-Prefix: 5c1e07a2:40,%s%s:1000\r\nX-Length-Hint: %d\r\n",
+			c.tokens, c.partField(), out.id, c.events)
 	}
 	if c.method == http.MethodPost {
 		head.WriteString("Content-Length: 4\r\n\r\nbody")
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -27,6 +27,8 @@
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"store-restored": storeRestored,
 	"silent-server":  silentServer,
+	"cut-off":        cutOff,
+	"deadly-part":    deadlyPrompts,
 }
 
 func main() { os.Exit(play()) }
--- a/review/harness-3/server.go
+++ b/review/harness-3/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,12 +30,17 @@
 	interval time.Duration
 	work     time.Duration
 	record   *record
+	// onCrash is called after the server has crashed under a request with the deadly part, of which id is that, and cut its channels.
+	onCrash func(s *server, id string, cut int)
 
 	listener net.Listener
 	mu       sync.Mutex
 	runs     []run
 	// resume is closed when the server goes on; nil while it is not silent.
 	resume chan struct{}
+	// cutFrom is the id of the process that the server is partitioned from, 0 if there is none. conns holds the open channels.
+	cutFrom int
+	conns   map[net.Conn]bool
 	// brokenBy holds, by request, that the other end closed the channel before the answer was complete.
 	brokenBy map[string]time.Time
 }
@@ -62,7 +68,7 @@
 		return nil, err
 	}
 
-	s.listener, s.born, s.brokenBy = listener, time.Now().UnixMilli(), map[string]time.Time{}
+	s.listener, s.born, s.brokenBy, s.conns = listener, time.Now().UnixMilli(), map[string]time.Time{}, map[net.Conn]bool{}
 	go s.accept()
 	return s, nil
 }
@@ -111,7 +117,19 @@
 }
 
 func (s *server) serve(c net.Conn) {
-	defer c.Close()
+	if s.isCut(c) {
+		reset(c)
+		return
+	}
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		_ = c.Close()
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -172,6 +190,10 @@
 		s.pause()
 		event := fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", n, n, id)
 		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		if n == first+deadlyEvents && strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart) {
+			s.onCrash(s, id, s.crash())
+			return false
+		}
 	}
 	if err == nil {
 		_, err = io.WriteString(c, "0\r\n\r\n")
@@ -185,7 +207,18 @@
 	return err == nil
 }
 
-// ranAt returns the runs of the server.
+// crash ends the server at once, and returns how many channels it had.
+func (s *server) crash() int {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		reset(c)
+	}
+	return len(s.conns)
+}
+
+// ran returns the runs of the server.
 func (s *server) ran() []run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -116,6 +116,12 @@
 	return s.apply(kind, name, data, nil, nil).Meta.Rev
 }
 
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delete(kind, name)
+}
+
 // counts are figures of the store.
 type counts struct {
 	revision                  uint64
