--- a/review/harness-3/server.go
+++ b/review/harness-3/server.go
@@ -37,12 +37,14 @@
 	interval time.Duration
 	work     time.Duration
 	record   *record
-	// onCrash is called after the server has crashed under a request with the deadly part, of which id is that, and cut its channels.
-	onCrash func(s *server, id string, cut int)
+	// onCrash is called after the server has crashed under a request with the deadly part, of which id is that; running is how many requests ran.
+	onCrash func(s *server, id string, running int)
 
 	listener net.Listener
-	mu       sync.Mutex
-	runs     []run
+	// slots holds the requests that run; others wait.
+	slots chan struct{}
+	mu    sync.Mutex
+	runs  []run
 	// resume is closed when the server goes on; nil while it is not silent.
 	resume chan struct{}
 	// cutFrom is the id of the process that the server is partitioned from, 0 if there is none. conns holds the open channels.
@@ -76,6 +78,7 @@
 	}
 
 	s.listener, s.born, s.brokenBy, s.conns = listener, time.Now().UnixMilli(), map[string]time.Time{}, map[net.Conn]bool{}
+	s.slots = make(chan struct{}, s.capacity)
 	go s.accept()
 	return s, nil
 }
@@ -164,6 +167,8 @@
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		return s.answer(c, id, "421 Misdirected Request", "X-Instance: "+s.id+"\r\n", "")
 	}
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
 	s.mu.Lock()
 	s.runs = append(s.runs, run{server: s.id, id: id, path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), at: time.Now()})
 	s.mu.Unlock()
@@ -214,7 +219,7 @@
 	return err == nil
 }
 
-// crash ends the server at once, and returns how many channels it had.
+// crash ends the server at once, and returns how many requests ran.
 func (s *server) crash() int {
 	_ = s.listener.Close()
 	s.mu.Lock()
@@ -222,7 +227,7 @@
 	for c := range s.conns {
 		reset(c)
 	}
-	return len(s.conns)
+	return len(s.slots)
 }
 
 // ran returns the runs of the server.
