--- a/review/harness-3/deadlypart.go
+++ b/review/harness-3/deadlypart.go
@@ -12,13 +12,15 @@
 	// deadlyPart is the part of a prompt under which each engine crashes within its answer, after deadlyEvents events.
 	deadlyPart   = "dead0001"
 	deadlyEvents = 16
+	// partEvents is the length of the answers to prompts with the part, or with the one in its place.
+	partEvents = 30
 	// engineCount engines run at a time. A crashed one is replaced after downTime, and its entry lapses after lapseTime, three heartbeats.
 	engineCount = 8
 	downTime    = 3 * time.Second
 	lapseTime   = 3600 * time.Millisecond
 	// Sound streams take soundEvents events; one begins each soundInterval at each daemon.
-	soundEvents   = 125
-	soundInterval = 220 * time.Millisecond
+	soundEvents   = 166
+	soundInterval = 245 * time.Millisecond
 	// deadlyInterval is the time between two prompts with the part.
 	deadlyInterval = 4200 * time.Millisecond
 	deadlyCount    = 14
@@ -93,7 +95,7 @@
 				case <-time.After(soundInterval):
 				}
 				wait.Go(func() {
-					r := sendOnce(one.caller, promptWith(newID()))
+					r := sendOnce(one.caller, promptWith(newID(), soundEvents))
 					mu.Lock()
 					defer mu.Unlock()
 					sent++
@@ -114,7 +116,7 @@
 		one := d.daemons[n%len(d.daemons)]
 		at := time.Now()
 		before := f.count()
-		r := sendOnce(one.caller, promptWith(part))
+		r := sendOnce(one.caller, promptWith(part, partEvents))
 		rec.line("%s: prompt with the part (%s), sent at %s s: %s", one.name, r.id, rec.since(at), strings.TrimSpace(r.text()))
 		if f.count() > before {
 			runs = append(runs, at)
@@ -149,8 +151,8 @@
 }
 
 // promptWith is a prompt with a part between the one that all share and its own.
-func promptWith(part string) call {
+func promptWith(part string, events int) call {
 	return call{
-		method: http.MethodPost, path: "/prompts/" + newID(), key: "key-1", deadline: 10 * time.Second, tokens: promptTokens(soundEvents), events: soundEvents, part: part,
+		method: http.MethodPost, path: "/prompts/" + newID(), key: "key-1", deadline: 10 * time.Second, tokens: promptTokens(events), events: events, part: part,
 	}
 }
