--- a/internal/directory/confirm_test.go
+++ b/internal/directory/confirm_test.go
@@ -40,17 +40,17 @@
 // goes on to ask once it has the copy or the store's answer.
 func TestRequestedCheckIsMadeOnce(t *testing.T) {
 	f, _ := relying(&fakeSource{watches: make(chan platform.Watch)}, false)
-	f.Confirm(5, 0, 0)
+	f.Confirm(Version{Revision: 5}, 0)
 	require.True(t, f.passive())
 	f.RequestCheck()
 	require.False(t, f.passive())
 	require.NoError(t, f.syncOnce(t.Context()))
 	require.True(t, f.passive(), "answered")
 	f.RequestCheck()
-	require.True(t, f.Adopt(imageOf(7, object("a", 7)).Diff(nil)))
+	require.True(t, f.Adopt(imageOf(7, object("a", 7)).Diff(0, nil)))
 	require.True(t, f.passive(), "the copy has arrived")
-	require.False(t, f.Adopt(imageOf(6, object("a", 6)).Diff(nil)), "an older copy")
-	require.False(t, f.Adopt(imageOf(7, object("b", 7)).Diff(nil)), "another copy of the same revision")
+	require.False(t, f.Adopt(imageOf(6, object("a", 6)).Diff(0, nil)), "an older copy")
+	require.False(t, f.Adopt(imageOf(7, object("b", 7)).Diff(0, nil)), "another copy of the same revision")
 }
 
 // Guards against a daemon that relies on others and after a failed call holds a long watch, until whose end it counts as failing; and
@@ -58,7 +58,7 @@
 func TestChecksTakeOneShortCall(t *testing.T) {
 	s := &fakeSource{image: imageOf(9, object("a", 9)), watches: make(chan platform.Watch)}
 	f, confirmed := relying(s, false)
-	f.Confirm(5, 0, 0)
+	f.Confirm(Version{Revision: 5}, 0)
 	f.recordResult(platform.ErrRejected)
 	require.False(t, f.passive())
 	require.NoError(t, f.syncOnce(t.Context()))
@@ -94,7 +94,7 @@
 	pause, probes := 10*time.Second, false
 	f.options.OutagePause, f.options.ProbesOutage = func() time.Duration { return pause }, func() bool { return probes }
 	f.outageWait = 0.9
-	f.Confirm(5, 0, time.Minute+time.Second)
+	f.Confirm(Version{Revision: 5}, time.Minute+time.Second)
 	require.True(t, f.stale())
 	require.True(t, f.passive())
 	require.Equal(t, outageCheckInterval, f.passivePause())
--- a/internal/directory/diff.go
+++ b/internal/directory/diff.go
@@ -45,13 +45,13 @@
 	Buckets []uint32
 }
 
-// Diff returns the buckets that differ from a copy with the given bucket digests, or the full image unless there is one
-// digest for each bucket.
-func (i Image) Diff(digests []uint64) Diff {
-	if len(digests) != bucketCount {
+// Diff returns the buckets that differ from a copy of an era with the given bucket digests, or the full image unless there is one digest
+// for each bucket and the era is that of the image, or unknown as that of a daemon of an earlier version.
+func (i Image) Diff(era uint64, digests []uint64) Diff {
+	if len(digests) != bucketCount || era != 0 && era != i.Era {
 		return Diff{Image: i, Full: true}
 	}
-	out := Diff{Image: Image{Kind: i.Kind, Revision: i.Revision, Objects: map[string]platform.Object{}}}
+	out := Diff{Image: Image{Kind: i.Kind, Era: i.Era, Revision: i.Revision, Objects: map[string]platform.Object{}}}
 	differs := make([]bool, bucketCount)
 	for b, sum := range i.Digests() {
 		if sum != digests[b] {
@@ -78,7 +78,7 @@
 			replaced[b] = true
 		}
 	}
-	out := Image{Kind: i.Kind, Revision: d.Revision, Objects: maps.Clone(d.Objects)}
+	out := Image{Kind: i.Kind, Era: d.Era, Revision: d.Revision, Objects: maps.Clone(d.Objects)}
 	for name, o := range i.Objects {
 		if !replaced[bucketOf(name)] {
 			out.Objects[name] = o
@@ -89,7 +89,7 @@
 
 // changesTo returns the changes that turn the image into a later one.
 func (i Image) changesTo(later Image) platform.Watch {
-	out := platform.Watch{Revision: later.Revision}
+	out := platform.Watch{Era: later.Era, Revision: later.Revision}
 	for name, o := range later.Objects {
 		if old, known := i.Objects[name]; !known || old.Version != o.Version {
 			out.Objects = append(out.Objects, o)
--- a/internal/directory/diff_test.go
+++ b/internal/directory/diff_test.go
@@ -23,8 +23,8 @@
 func TestDiffMakesImagesEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		mine, theirs := randomImage(t, "mine", 1), randomImage(t, "theirs", 2)
-		require.Equal(t, theirs, mine.merge(theirs.Diff(mine.Digests())))
-		require.Equal(t, theirs, mine.merge(theirs.Diff(nil)))
+		require.Equal(t, theirs, mine.merge(theirs.Diff(0, mine.Digests())))
+		require.Equal(t, theirs, mine.merge(theirs.Diff(0, nil)))
 	})
 }
 
@@ -38,7 +38,7 @@
 		mine.Objects[name] = platform.Object{Name: name, Version: 1}
 	}
 	theirs := mine.apply(platform.Watch{Revision: 2, Objects: []platform.Object{{Name: "i-7", Version: 2}}})
-	diff := theirs.Diff(mine.Digests())
+	diff := theirs.Diff(0, mine.Digests())
 	require.False(t, diff.Full)
 	require.Contains(t, diff.Objects, "i-7")
 	require.Less(t, len(diff.Objects), servers/20)
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -62,10 +62,22 @@
 // has to be listed again.
 var ErrRevisionCompacted = errors.New("store no longer has the changes after the revision")
 
+// errOutdatedAnswer is the error of a call whose answer is older than what the daemon knows. It changes and confirms nothing.
+var errOutdatedAnswer = errors.New("answer of the store is older than the copy")
+
+// errEraEnded is the error of a watch that ended because a later era of the store was met elsewhere.
+var errEraEnded = errors.New("era of the watch has ended")
+
 // ErrTooManyChanges is returned by Source.Watch if the changes after the revision are too large for one response, as those of an outage
 // can be. They stay so until the store drops its history; a list has pages.
 var ErrTooManyChanges = errors.New("changes after the revision are too large for one response")
 
+// Where an era of the store was met.
+const (
+	fromStore    = "store"
+	fromNeighbor = "neighbour"
+)
+
 // Source reads objects from the platform's store. Other errors than those above are those of package platform.
 type Source interface {
 	// List returns all objects of a kind and the revision of that state.
@@ -76,14 +88,23 @@
 
 // Image is a copy of all objects of a kind, by name. It is immutable.
 type Image struct {
-	Kind     string
-	Revision uint64
-	Objects  map[string]platform.Object
+	Kind string
+	// Era and Revision are those of Version.
+	Era, Revision uint64
+	Objects       map[string]platform.Object
+}
+
+// Version returns the version of the image.
+func (i Image) Version() Version {
+	return Version{Era: i.Era, Revision: i.Revision, Digest: i.Digest()}
 }
 
+// position returns the version of the image without its digest.
+func (i Image) position() Version { return Version{Era: i.Era, Revision: i.Revision} }
+
 // apply returns the image with the changes applied. A change to version 0 deletes the object.
 func (i Image) apply(w platform.Watch) Image {
-	out := Image{Kind: i.Kind, Revision: max(i.Revision, w.Revision), Objects: i.Objects}
+	out := Image{Kind: i.Kind, Era: i.Era, Revision: max(i.Revision, w.Revision), Objects: i.Objects}
 	if len(w.Objects) == 0 {
 		return out
 	}
@@ -115,8 +136,9 @@
 	lastAnswer, lastChange time.Time
 	// revisedAt is when the image's revision was last set, as time since boot.
 	revisedAt time.Duration
-	// recoveredAt is when the last outage of the store ended; zero before the first outage.
-	recoveredAt time.Time
+	// recoveredAt is when the last outage of the store ended; zero before the first outage. restoredAt is when the image first was one of
+	// the latest era, zero while it is of the first one that the daemon has met.
+	recoveredAt, restoredAt time.Time
 	// freshness is separate from mu because OnChange callbacks read it while mu is held.
 	freshness freshness
 	// outageWait is the part of Options.OutagePause that the follower waits before the next call of its own.
@@ -127,8 +149,10 @@
 
 // Options configure a Follower.
 type Options struct {
+	// Eras holds the latest era of the store; nil if the follower keeps its own.
+	Eras *Eras
 	// OnChange is called with each new image; calls never overlap. outage is set if this daemon read the image from the
-	// store at the end of an outage or within recoveryPeriod after it.
+	// store at the end of an outage, or the image is the first one of a later era, or within recoveryPeriod after either.
 	OnChange func(image Image, outage bool)
 	// OnRead, if set, is called after OnChange with each change read from the store and the image's digest before it.
 	OnRead func(before uint64, w platform.Watch)
@@ -172,6 +196,9 @@
 // NewFollower returns a follower of one kind.
 func NewFollower(kind string, source Source, log *slog.Logger, o Options) *Follower {
 	o.MaxStaleness = time.Duration(float64(o.MaxStaleness) * (1 - stalenessJitter*rand.Float64()))
+	if o.Eras == nil {
+		o.Eras = NewEras(nil)
+	}
 	return &Follower{kind: kind, source: source, options: o, log: log.With("kind", kind), outageWait: rand.Float64()}
 }
 
@@ -187,11 +214,11 @@
 	return f.freshness.age(sinceBoot())
 }
 
-// Confirm records that a neighbour's copy with a revision and digest was current some time ago. It has no effect if the image
-// is behind that copy.
-func (f *Follower) Confirm(revision, digest uint64, age time.Duration) {
+// Confirm records that a neighbour's copy of a version was current some time ago. It has no effect if the image is behind that copy, or if
+// the version is not one of the latest era.
+func (f *Follower) Confirm(v Version, age time.Duration) {
 	image, known := f.Image()
-	if known && (image.Revision >= revision || image.Digest() == digest) {
+	if latest, _ := f.options.Eras.Latest(); known && v.Era == latest && image.Version().Covers(v) {
 		f.freshness.confirm(sinceBoot() - max(0, age))
 	}
 }
@@ -208,7 +235,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordResult(err)
+		if !errors.Is(err, errOutdatedAnswer) {
+			f.recordResult(err)
+		}
 		if err == nil {
 			backoff = 0
 			continue
@@ -218,41 +247,46 @@
 	}
 }
 
-// syncOnce lists the kind if there is no image yet, and otherwise makes one watch call.
+// syncOnce lists the kind if there is no image of the latest era yet, and otherwise makes one watch call.
 func (f *Follower) syncOnce(ctx context.Context) error {
-	f.mu.Lock()
-	known, after := f.known, f.image.Revision
-	f.mu.Unlock()
-	if !known {
+	image, known := f.Image()
+	latest, eraChanged := f.options.Eras.Latest()
+	if !known || image.Era < latest {
 		return f.list(ctx)
 	}
 	check := f.checks()
 	if check && f.checksByList() {
-		f.logCheck(after)
+		f.logCheck(image.Revision)
 		return f.list(ctx)
 	}
 	asked, wait := sinceBoot(), staleCheckWait
 	if !check {
 		wait = f.nextWait()
 	} else {
-		f.logCheck(after)
+		f.logCheck(image.Revision)
 	}
-	w, err := f.source.Watch(ctx, f.kind, after, wait)
+	w, err := f.watch(ctx, image.Revision, wait, eraChanged)
 	if errors.Is(err, ErrRevisionCompacted) || errors.Is(err, ErrTooManyChanges) {
-		f.log.Info("changes of the store cannot be read, listing again", "revision", after, "err", err)
+		f.log.Info("changes of the store cannot be read, listing again", "era", image.Era, "revision", image.Revision, "err", err)
 		return f.list(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if !f.options.Eras.Meet(w.Era, fromStore) {
+		return f.rejectAnswer("watch", image.position(), Version{Era: w.Era, Revision: w.Revision})
+	}
+	if w.Era != 0 && w.Era != image.Era {
+		return f.list(ctx) // the revision that was watched from belongs to another history
+	}
+	w.Era = image.Era
 	pause := f.pauseAfterChange(time.Now())
-	// A process that was suspended reads an answer that the store gave at the end of the wait, long ago.
-	answeredAt := min(sinceBoot(), asked+wait+answerMargin)
-	if len(w.Objects) > 0 {
-		f.applyRead(w)
+	if len(w.Objects) > 0 && !f.applyRead(w) {
+		return nil // a neighbour's copy of a later era has arrived meanwhile
 	}
-	f.freshness.answered(answeredAt) // after the change is applied, so that no neighbour takes an old image for confirmed
-	f.checkDue.Store(false)
+	// A process that was suspended reads an answer that the store gave at the end of the wait, long ago. The answer is recorded after the
+	// change is applied, so that no neighbour takes an old image for confirmed.
+	f.recordAnswer(image.Era, min(sinceBoot(), asked+wait+answerMargin))
 	if (check || f.confirmsAnswers()) && f.options.OnConfirmed != nil {
 		f.options.OnConfirmed()
 	}
@@ -262,6 +296,40 @@
 	return nil
 }
 
+// watch makes a watch call, which ends early when a later era is met elsewhere.
+func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration, eraChanged <-chan struct{}) (platform.Watch, error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-eraChanged:
+			cancel()
+		case <-watchCtx.Done():
+		}
+	}()
+	w, err := f.source.Watch(watchCtx, f.kind, after, wait)
+	if err != nil && ctx.Err() == nil && watchCtx.Err() != nil {
+		return platform.Watch{}, errors.Mark(errEraEnded, ErrRevisionCompacted)
+	}
+	return w, err
+}
+
+// rejectAnswer logs an answer of the store that is older than what the daemon knows, and returns its error.
+func (f *Follower) rejectAnswer(operation string, own, answer Version) error {
+	f.log.Warn("store gave an outdated answer", "operation", operation, "era", answer.Era, "revision", answer.Revision,
+		"own_era", own.Era, "own_revision", own.Revision)
+	return errOutdatedAnswer
+}
+
+// recordAnswer records that the store answered this daemon at a time with an image of an era. It confirms nothing if the image has become
+// one of a later era since.
+func (f *Follower) recordAnswer(era uint64, at time.Duration) {
+	if image, _ := f.Image(); image.Era == era {
+		f.freshness.answered(at)
+		f.checkDue.Store(false)
+	}
+}
+
 func (f *Follower) confirmsAnswers() bool { return f.options.RareChanges || f.options.ConfirmAnswers }
 
 // pauseAfterChange returns the pause after a change that is read now.
@@ -272,19 +340,20 @@
 	return batchDelay
 }
 
-// applyRead applies a change that this daemon read from the store.
-func (f *Follower) applyRead(w platform.Watch) {
-	before := uint64(0)
+// applyRead applies a change that this daemon read from the store, and returns false if the image has become one of another era.
+func (f *Follower) applyRead(w platform.Watch) bool {
+	before, sameEra := uint64(0), true
 	f.update(true, func(old Image) (Image, bool) {
-		before = old.Digest()
-		if old.Revision > w.Revision {
+		before, sameEra = old.Digest(), old.Era == w.Era
+		if !sameEra || old.Revision > w.Revision {
 			return old, false
 		}
 		return old.apply(w), true
 	})
-	if f.options.OnRead != nil {
+	if sameEra && f.options.OnRead != nil {
 		f.options.OnRead(before, w)
 	}
+	return sameEra
 }
 
 // logCheck logs a check of an image with the given revision. Further attempts during an outage are not logged.
@@ -297,23 +366,30 @@
 
 func (f *Follower) list(ctx context.Context) error {
 	asked := sinceBoot()
+	own, _ := f.Image()
 	image, err := f.source.List(ctx, f.kind)
 	if err != nil {
 		return err
 	}
+	listed := image.position()
+	if image.Era == 0 {
+		image.Era = own.Era // an answer that names no era is compared by its revision
+	}
+	if !f.options.Eras.Meet(listed.Era, fromStore) || own.position().After(image.position()) {
+		return f.rejectAnswer("list", own.position(), listed)
+	}
 	var before uint64
 	var change platform.Watch
 	f.update(true, func(old Image) (Image, bool) {
-		if f.known && image.Revision < old.Revision {
-			return old, false
+		if f.known && old.position().After(image.position()) {
+			return old, false // a neighbour's copy has arrived meanwhile
 		}
-		if f.known {
+		if f.known && old.Era == image.Era {
 			before, change = old.Digest(), old.changesTo(image)
 		}
 		return image, true
 	})
-	f.freshness.answered(asked)
-	f.checkDue.Store(false)
+	f.recordAnswer(image.Era, asked)
 	if !f.confirmsAnswers() {
 		return nil
 	}
@@ -327,30 +403,49 @@
 }
 
 // Adopt merges a neighbour's copy if it is newer than the image, and reports whether it did. A follower without an
-// image accepts only a full copy.
+// image accepts only a full copy, and so does one with an image of another era.
 func (f *Follower) Adopt(d Diff) bool {
+	f.options.Eras.Meet(d.Era, fromNeighbor)
 	adopted := false
 	f.update(false, func(old Image) (Image, bool) {
-		if f.known && d.Revision <= old.Revision || !f.known && !d.Full {
+		if !d.Full && (!f.known || d.Era != old.Era && !f.bridges(d, old)) || f.known && !d.position().After(old.position()) && !f.bridges(d, old) {
 			return old, false
 		}
 		adopted = true
-		if !f.known && f.options.RareChanges {
+		if latest, _ := f.options.Eras.Latest(); !f.known && f.options.RareChanges && d.Era == latest {
 			f.freshness.confirm(sinceBoot())
 		}
 		return old.merge(d), true
 	})
 	if adopted {
-		f.log.Info("took a newer copy from a neighbour", "revision", d.Revision, "objects", len(d.Objects), "whole", d.Full)
+		f.log.Info("took a newer copy from a neighbour", "era", d.Era, "revision", d.Revision, "objects", len(d.Objects), "whole", d.Full)
 	}
 	return adopted
 }
 
-// ApplyChange applies a change that a neighbour read from the store. It does nothing if the image is newer, or if its
+// bridges reports whether a copy of a neighbour of an earlier version, which names no era, replaces the image for as long as the store
+// fails this daemon. As its era is unknown, the next answer of the store replaces it whatever its revision.
+func (f *Follower) bridges(d Diff, old Image) bool {
+	return d.Era == 0 && old.Era != 0 && f.bridgesOutage() && d.Revision > old.Revision
+}
+
+func (f *Follower) bridgesOutage() bool { return f.failing.Load() && f.restoredAt.IsZero() }
+
+// BridgesOutage reports whether the follower takes copies of an unknown era, since the store fails this daemon and it knows of no restore.
+func (f *Follower) BridgesOutage() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bridgesOutage()
+}
+
+// ApplyChange applies a change that a neighbour read from the store. It does nothing if the image is newer or of another era, or if its
 // digest is not the one before the change.
 func (f *Follower) ApplyChange(before uint64, w platform.Watch) {
+	if !f.options.Eras.Meet(w.Era, fromNeighbor) {
+		return
+	}
 	f.update(false, func(old Image) (Image, bool) {
-		if !f.known || w.Revision < old.Revision || old.Digest() != before {
+		if !f.known || w.Era != old.Era || w.Revision < old.Revision || old.Digest() != before {
 			return old, false
 		}
 		return old.apply(w), true
@@ -362,15 +457,39 @@
 func (f *Follower) update(fromStore bool, change func(Image) (Image, bool)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	image, replaced := change(f.image)
+	old := f.image
+	image, replaced := change(old)
 	f.image = image
 	if !replaced {
 		return
 	}
-	f.known, f.lastChange, f.revisedAt = true, time.Now(), sinceBoot()
+	now := time.Now()
+	restored := f.known && image.Era > old.Era && old.Era != 0
+	if restored {
+		f.restoredAt = now
+		f.logRestored(old, image)
+	}
+	f.known, f.lastChange, f.revisedAt = true, now, sinceBoot()
 	f.checkDue.Store(false)
-	recent := !f.recoveredAt.IsZero() && time.Since(f.recoveredAt) < recoveryPeriod
-	f.options.OnChange(image, fromStore && (f.failing.Load() || recent))
+	recent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < recoveryPeriod }
+	f.options.OnChange(image, recent(f.restoredAt) || fromStore && (f.failing.Load() || recent(f.recoveredAt)))
+}
+
+// logRestored logs what the first copy of a later era changes.
+func (f *Follower) logRestored(old, image Image) {
+	added, removed := 0, 0
+	for name := range image.Objects {
+		if _, ok := old.Objects[name]; !ok {
+			added++
+		}
+	}
+	for name := range old.Objects {
+		if _, ok := image.Objects[name]; !ok {
+			removed++
+		}
+	}
+	f.log.Warn("copy is of a later era of the store", "era", image.Era, "revision", image.Revision, "old_era", old.Era,
+		"old_revision", old.Revision, "objects", len(image.Objects), "added", added, "removed", removed)
 }
 
 // Kind returns the kind of objects that the follower maintains.
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -20,6 +20,7 @@
 	watches   chan platform.Watch
 	err       error
 	compacted bool // the next watch returns ErrRevisionCompacted
+	waits     bool // watches wait until their context ends
 	longest   time.Duration
 }
 
@@ -47,6 +48,10 @@
 	if err != nil {
 		return platform.Watch{}, err
 	}
+	if s.waits {
+		<-ctx.Done()
+		return platform.Watch{}, ctx.Err()
+	}
 	select {
 	case w := <-s.watches:
 		return w, nil
@@ -136,8 +141,8 @@
 	f, out := startFollower(t, s)
 	<-out
 	s.fail(platform.ErrRejected)
-	require.False(t, f.Adopt(imageOf(4, object("old", 1)).Diff(nil)))
-	require.True(t, f.Adopt(imageOf(8, object("new", 8)).Diff(nil)))
+	require.False(t, f.Adopt(imageOf(4, object("old", 1)).Diff(0, nil)))
+	require.True(t, f.Adopt(imageOf(8, object("new", 8)).Diff(0, nil)))
 	require.Contains(t, (<-out).image.Objects, "new")
 }
 
@@ -218,14 +223,14 @@
 	})
 	f.known, f.image = true, imageOf(5, object("a", 3))
 	require.False(t, f.passive(), "the store has not answered yet")
-	f.Confirm(6, f.image.Digest()+1, 0)
+	f.Confirm(Version{Revision: 6, Digest: f.image.Digest() + 1}, 0)
 	require.False(t, f.passive(), "the neighbour has a newer copy")
-	f.Confirm(6, f.image.Digest(), limit)
+	f.Confirm(Version{Revision: 6, Digest: f.image.Digest()}, limit)
 	require.False(t, f.passive(), "confirmed too long ago")
-	f.Confirm(6, f.image.Digest(), limit/2)
+	f.Confirm(Version{Revision: 6, Digest: f.image.Digest()}, limit/2)
 	require.True(t, f.passive(), "equal copies")
 	require.LessOrEqual(t, f.passivePause(), limit/2)
-	f.Confirm(4, 0, -time.Hour)
+	f.Confirm(Version{Revision: 4}, -time.Hour)
 	require.True(t, f.passive(), "an older copy that is current")
 	require.LessOrEqual(t, f.freshness.age(sinceBoot()), limit, "a confirmation does not lie in the future")
 	require.Eventually(t, func() bool { return !f.passive() }, 2*limit, time.Millisecond)
--- a/internal/edge/bodies_test.go
+++ b/internal/edge/bodies_test.go
@@ -40,7 +40,7 @@
 	warnings := func(bodyBytes int64) int {
 		version++
 		d.adapter.Codec = limitsCodec{version: version, bodyBytes: bodyBytes}
-		require.True(t, d.adoptConfig(platform.Object{}))
+		require.True(t, d.adoptConfig(0, platform.Object{Version: uint64(version)}))
 		return strings.Count(log.String(), "memoryMB is too small")
 	}
 	require.Equal(t, 0, warnings(20<<20))
--- a/internal/edge/configcopy.go
+++ b/internal/edge/configcopy.go
@@ -44,10 +44,9 @@
 	daemon *Daemon
 	bound  time.Duration
 
-	// isKnown is set once there is a copy. revision and digest are those of the copy; they are atomic because the packets are also
-	// filled in by callbacks of the follower.
-	isKnown          atomic.Bool
-	revision, digest atomic.Uint64
+	// current is the version of the copy, nil while there is none. It is atomic because the packets are also filled in by callbacks of the
+	// follower.
+	current atomic.Pointer[directory.Version]
 
 	copies *copyFetcher
 }
@@ -68,7 +67,7 @@
 // followConfig returns the follower of the configuration.
 func (d *Daemon) followConfig() *directory.Follower {
 	o := directory.Options{
-		OnChange: d.configChanged, IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage, LargeDeployment: d.severalCells,
+		Eras: d.eras, OnChange: d.configChanged, IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage, LargeDeployment: d.severalCells,
 		BusyPause: configBusyPause,
 	}
 	if c := d.configCopy; c != nil {
@@ -120,7 +119,7 @@
 	for _, o := range w.Objects {
 		bytes += len(o.Value)
 	}
-	if before == c.digest.Load() || !spread.FitsDatagram(bytes, len(c.daemon.link.Live())-1) {
+	if before == c.version().Digest || !spread.FitsDatagram(bytes, len(c.daemon.link.Live())-1) {
 		return
 	}
 	c.daemon.sendDelta(KindConfig, before, w)
@@ -131,31 +130,49 @@
 	if c == nil {
 		return
 	}
-	c.revision.Store(image.Revision)
-	c.digest.Store(image.Digest())
-	c.isKnown.Store(true)
+	v := image.Version()
+	c.current.Store(&v)
 }
 
 // version returns the version of the copy.
-func (c *configCopy) version() spread.Version {
-	return spread.Version{Revision: c.revision.Load(), Digest: c.digest.Load()}
+func (c *configCopy) version() directory.Version { return versionOf(&c.current) }
+
+// knownVersion returns the version of the copy, the zero Version if there is none.
+func (c *configCopy) knownVersion() directory.Version {
+	if c == nil {
+		return directory.Version{}
+	}
+	return c.version()
+}
+
+// versionOf returns the version of a copy, the zero Version if there is none.
+func versionOf(v *atomic.Pointer[directory.Version]) directory.Version {
+	if current := v.Load(); current != nil {
+		return *current
+	}
+	return directory.Version{}
 }
 
 // fillVersions sets the version of this daemon's copy and the age of its confirmation by the store.
 func (c *configCopy) fillVersions(p *carobstilev1.EdgePacket) {
-	if c == nil || !c.isKnown.Load() {
+	if c == nil || c.current.Load() == nil {
 		return
 	}
-	if age, ok := c.daemon.config.ConfirmedAge(); ok { // read before the digest, so that it is not younger than that
+	if age, ok := c.daemon.config.ConfirmedAge(); ok { // read before the version, so that it is not younger than that
 		p.ConfigConfirmedMicrosAgo = proto.Int64(int64(core.FromDuration(age)))
 	}
-	p.ConfigRevision, p.ConfigDigest = c.revision.Load(), c.digest.Load()
+	v := c.version()
+	p.ConfigEra, p.ConfigRevision, p.ConfigDigest = v.Era, v.Revision, v.Digest
+}
+
+func configVersionOf(p *carobstilev1.EdgePacket) directory.Version {
+	return directory.Version{Era: p.GetConfigEra(), Revision: p.GetConfigRevision(), Digest: p.GetConfigDigest()}
 }
 
-// compares reports whether the copies of this daemon and a packet's sender are compared by their revisions. Otherwise the versions of
+// compares reports whether the copies of this daemon and a packet's sender are compared by their versions in the store. Otherwise the versions of
 // the configurations in force are compared.
 func (c *configCopy) compares(p *carobstilev1.EdgePacket) bool {
-	return c != nil && c.isKnown.Load() && p.GetConfigRevision() > 0
+	return c != nil && c.current.Load() != nil && p.GetConfigRevision() > 0
 }
 
 // heard applies a neighbour's confirmation, and starts to get its copy if that is newer.
@@ -165,7 +182,7 @@
 	}
 	if p.ConfigConfirmedMicrosAgo != nil {
 		age := core.Micros(p.GetConfigConfirmedMicrosAgo()).Duration()
-		c.daemon.config.Confirm(p.GetConfigRevision(), p.GetConfigDigest(), age)
+		c.daemon.config.Confirm(configVersionOf(p), age)
 	}
-	c.copies.heard(p, spread.Version{Revision: p.GetConfigRevision(), Digest: p.GetConfigDigest()})
+	c.copies.heard(p, configVersionOf(p))
 }
--- a/internal/edge/configcopy_test.go
+++ b/internal/edge/configcopy_test.go
@@ -15,12 +15,11 @@
 	"github.com/carobstile/carobstile/internal/evlog"
 	"github.com/carobstile/carobstile/internal/platform"
 	"github.com/carobstile/carobstile/internal/routing"
-	"github.com/carobstile/carobstile/internal/spread"
 )
 
 // relyingDaemon returns a daemon with configuration 3 of revision 5 that relies on its neighbours.
 func relyingDaemon() *Daemon {
-	d := &Daemon{settings: &Settings{ConfigBoundMS: 2_000}, start: time.Now(), serversListed: true, log: evlog.Discard()}
+	d := &Daemon{eras: directory.NewEras(nil), settings: &Settings{ConfigBoundMS: 2_000}, start: time.Now(), serversListed: true, log: evlog.Discard()}
 	d.configCopy = newConfigCopy(d)
 	d.config = directory.NewFollower(KindConfig, nil, d.log, directory.Options{
 		OnChange: func(image directory.Image, _ bool) { d.configCopy.changed(image) },
@@ -71,23 +70,23 @@
 	old, now := configImage(4, 4).Digests(), 10*core.Second
 	admitted := 0
 	for range 60 {
-		if d.configCopy.copies.admit(now, image.Diff(old)) {
+		if d.configCopy.copies.admit(now, image.Diff(0, old), true) {
 			admitted++
 		}
 	}
 	require.InDelta(t, 4, admitted, 1)
-	require.True(t, d.configCopy.copies.admit(now, image.Diff(nil)), "a starting daemon")
-	require.True(t, d.configCopy.copies.admit(now, image.Diff(image.Digests())), "nothing to send")
-	require.True(t, d.configCopy.copies.admit(now+core.Second, image.Diff(old)))
+	require.True(t, d.configCopy.copies.admit(now, image.Diff(0, nil), false), "a starting daemon")
+	require.True(t, d.configCopy.copies.admit(now, image.Diff(0, image.Digests()), true), "nothing to send")
+	require.True(t, d.configCopy.copies.admit(now+core.Second, image.Diff(0, old), true))
 	var off *copyFetcher
-	require.True(t, off.admit(now, image.Diff(old)))
+	require.True(t, off.admit(now, image.Diff(0, old), true))
 }
 
 // Guards against a neighbour that does not answer, or is too far behind, being asked again and again.
 func TestHolderWithoutAnswerIsAskedOnce(t *testing.T) {
 	d := relyingDaemon()
 	gone := &carobstilev1.EdgePacket{Sender: &carobstilev1.EdgeMember{Name: "gone", ServiceAddress: "127.0.0.1:1"}}
-	d.configCopy.copies.heard(gone, spread.Version{Revision: 9, Digest: 9})
+	d.configCopy.copies.heard(gone, directory.Version{Revision: 9, Digest: 9})
 	h, behind := d.configCopy.copies.chooseHolder()
 	require.True(t, behind)
 	d.configCopy.copies.fetchFrom(h)
@@ -115,7 +114,7 @@
 
 // Guards against a starting daemon that handles no datagrams while it reads the verdicts in a slow store.
 func TestFirstConfigurationDoesNotDelayDatagrams(t *testing.T) {
-	d := &Daemon{settings: &Settings{ConfigBoundMS: 2_000}, start: time.Now(), log: evlog.Discard()}
+	d := &Daemon{eras: directory.NewEras(nil), settings: &Settings{ConfigBoundMS: 2_000}, start: time.Now(), log: evlog.Discard()}
 	store := blockedStore{listing: make(chan struct{}), closed: make(chan struct{})}
 	d.adapter = Adapter{Store: store, Codec: namedCodec{}}
 	d.crashes = newCrashTracker(d.now, func(func(*carobstilev1.EdgePacket)) {}, d.log)
--- a/internal/edge/copyfetcher.go
+++ b/internal/edge/copyfetcher.go
@@ -18,7 +18,7 @@
 const maxCatchUp = 3 * time.Second
 
 // unknownVersion is the version of a copy that this daemon does not have yet. An empty copy has another digest.
-var unknownVersion = spread.Version{Digest: math.MaxUint64}
+var unknownVersion = directory.Version{Digest: math.MaxUint64}
 
 // copyFetcher gets newer copies of one kind of objects from the neighbours that have announced them, and bounds what this daemon sends
 // of its own copy. A change that is read from the store normally reaches the neighbours in a datagram; copies are fetched of changes
@@ -27,7 +27,7 @@
 	daemon *Daemon
 	kind   string
 	// version returns the version of this daemon's copy.
-	version func() spread.Version
+	version func() directory.Version
 	// isWatcher reports whether this daemon watches the kind in the store.
 	isWatcher func() bool
 	// changesFollow is set if a change that is announced normally arrives in a datagram of its own.
@@ -47,7 +47,7 @@
 }
 
 // newCopyFetcher returns a fetcher of a kind.
-func newCopyFetcher(d *Daemon, kind string, version func() spread.Version, isWatcher func() bool) *copyFetcher {
+func newCopyFetcher(d *Daemon, kind string, version func() directory.Version, isWatcher func() bool) *copyFetcher {
 	return &copyFetcher{
 		daemon: d, kind: kind, version: version, isWatcher: isWatcher, changesFollow: true, wake: make(chan struct{}, 1),
 	}
@@ -88,9 +88,12 @@
 }
 
 // heard starts to get the copy that the sender of a packet has announced if it is newer than this daemon's.
-func (f *copyFetcher) heard(p *carobstilev1.EdgePacket, theirs spread.Version) {
-	m := p.GetSender()
-	if m.GetServiceAddress() == "" || !theirs.Newer(f.version()) {
+func (f *copyFetcher) heard(p *carobstilev1.EdgePacket, theirs directory.Version) {
+	m, own := p.GetSender(), f.version()
+	if theirs.Era == 0 && f.daemon.follower(f.kind).BridgesOutage() {
+		theirs.Era = own.Era
+	}
+	if m.GetServiceAddress() == "" || !theirs.Newer(own) {
 		return
 	}
 	if slices.Contains(p.GetLargeChanges(), f.kind) {
@@ -167,10 +170,10 @@
 	f.holders.Drop(h.Name) // it did not answer, or the copy is now at least as new as its own was
 }
 
-// admit reports whether a part of this daemon's copy may be sent to a neighbour now. A daemon without a copy gets it in any case,
-// since it serves nobody before. A nil *copyFetcher admits everything.
-func (f *copyFetcher) admit(now core.Micros, diff directory.Diff) bool {
-	if f == nil || diff.Full || len(diff.Objects) == 0 {
+// admit reports whether this daemon's copy, or a part of it, may be sent now to a neighbour that has a copy or not. A daemon without a copy
+// gets it in any case, since it serves nobody before. A nil *copyFetcher admits everything.
+func (f *copyFetcher) admit(now core.Micros, diff directory.Diff, hasCopy bool) bool {
+	if f == nil || !hasCopy || len(diff.Objects) == 0 {
 		return true
 	}
 	bytes := 0
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -353,7 +353,13 @@
 // saveVerdicts keeps the verdicts for which this daemon is responsible in the store, until ctx ends.
 func (d *Daemon) saveVerdicts(ctx context.Context) {
 	saved := map[uint64]core.Micros{} // when they were reached, by key
+	var era uint64
 	shell.Every(ctx, verdictSaveInterval, func(ctx context.Context) {
+		latest, _ := d.eras.Latest()
+		if era != 0 && latest != era {
+			clear(saved) // a restored store may lack them
+		}
+		era = latest
 		inForce := map[uint64]bool{}
 		for _, v := range d.crashes.verdicts() {
 			inForce[v.Key()] = true
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/app"
@@ -70,8 +71,13 @@
 	engineSlowdowns map[string]float64
 	serversListed   bool
 
-	// serversRevision is the revision of this daemon's image of the servers, serversDigest the digest of their entries.
-	serversRevision, serversDigest atomic.Uint64
+	// serversCurrent is the version of this daemon's image of the servers, nil before the first one.
+	serversCurrent atomic.Pointer[directory.Version]
+	// eras holds the latest era of the store that this daemon has met.
+	eras *directory.Eras
+	// inForce decides which configuration applies. configMu is held from that decision until the configuration applies.
+	configMu sync.Mutex
+	inForce  configInForce
 	// fullSummaryDue is set when a neighbour has joined and needs the details of all jobs.
 	fullSummaryDue atomic.Bool
 	// seedAsked is closed when the first fetch from a seed has ended.
@@ -80,6 +86,7 @@
 	fetchScheduled atomic.Bool
 	draining       atomic.Bool
 	drained        chan struct{}
+	restores       tally.Counter
 	// verdictsLoaded is set once the verdicts in the store have been read.
 	verdictsLoaded atomic.Bool
 	// ownEntryMu serializes the writes and the removal of this daemon's entry in the store.
@@ -93,10 +100,12 @@
 		engineSlowdowns: map[string]float64{}, drained: make(chan struct{}), seedAsked: make(chan struct{}),
 		metrics: telemetry.New(),
 	}
+	d.restores = d.metrics.Scope.Counter("store_restores")
 	d.latestSettings.Store(s)
 	d.adapter.Store = newCountingStore(a.Store, d.metrics.Scope, d.storePhase)
 	a = d.adapter
 	s.applyMemoryLimit()
+	d.eras = directory.NewEras(d.eraMet)
 	d.servers = newServerList(a.Codec, env.Log)
 	d.scheduler = newScheduler(s.FailureDomain, s.Name, d.now, env.Log)
 	d.relays = newRelays(d)
@@ -114,7 +123,7 @@
 	d.configCopy = newConfigCopy(d)
 	d.config = d.followConfig()
 	d.serverEntries = directory.NewFollower(KindServers, a.Store, env.Log, directory.Options{
-		OnChange: d.entriesChanged, OnRead: d.broadcastDelta(KindServers), IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage,
+		Eras: d.eras, OnChange: d.entriesChanged, OnRead: d.broadcastDelta(KindServers), IsWatcher: d.isWatcher, ProbesOutage: d.probesOutage,
 		LargeDeployment: d.severalCells, RelyOnNeighbors: true, MaxStaleness: s.maxServersStaleness(),
 		OnConfirmed: func() { d.link.Broadcast(true, d.fillVersions) },
 	})
@@ -169,32 +178,44 @@
 	}
 	d.configCopy.changed(image) // after the call above, as neighbours' confirmations of a known copy wait for the follower's lock
 	if !ok {
-		d.log.Warn("store holds no configuration", "revision", image.Revision)
+		d.inForce.miss(image.Era)
+		d.log.Warn("store holds no configuration", "era", image.Era, "revision", image.Revision)
 		return
 	}
-	if !d.adoptConfig(o) {
+	if !d.adoptConfig(image.Era, o) {
 		return
 	}
 	d.updateServers()
 	d.link.Broadcast(true, func(p *carobstilev1.EdgePacket) { d.fillVersions(p) })
 }
 
-// adoptConfig applies the object's configuration if it is newer than the current one, and reports whether it was.
-func (d *Daemon) adoptConfig(o platform.Object) bool {
+// adoptConfig applies the configuration in the object of a copy if it replaces the one in force, and reports whether it did.
+func (d *Daemon) adoptConfig(era uint64, o platform.Object) bool {
 	c, err := d.adapter.Codec.Config(o.Value)
 	if err != nil {
-		d.log.Error("failed to decode configuration", "revision", o.Version, "err", err)
+		d.log.Error("failed to decode configuration", "era", era, "revision", o.Version, "err", err)
 		return false
 	}
-	if old := d.table.Load(); old != nil && old.Version >= c.Version {
-		return false
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
+	adopted, held := d.inForce.offer(era, o, c.Version)
+	if held {
+		d.log.Warn("restored store holds an older configuration, the newer one stays in force", "in_force", d.inForce.current(), "version", c.Version,
+			"era", era, "revision", o.Version)
+	}
+	if adopted {
+		d.applyConfig(c, "store", era, o.Version)
 	}
+	return adopted
+}
+
+// applyConfig puts a configuration in force. The caller holds configMu.
+func (d *Daemon) applyConfig(c routing.Config, from string, era, revision uint64) {
 	old := d.table.Swap(routing.NewTable(c))
-	d.log.Info("configuration in force", "version", c.Version, "revision", o.Version, "routes", len(c.Routes))
+	d.log.Info("configuration in force", "version", c.Version, "from", from, "era", era, "revision", revision, "routes", len(c.Routes))
 	if old == nil || forward.MaxBodyBytes(old.Limits) != forward.MaxBodyBytes(c.Limits) {
 		d.warnOfBodies(c.Limits)
 	}
-	return true
 }
 
 // entriesChanged updates the servers from the entries that they have written to the store.
@@ -204,8 +225,8 @@
 	d.serversListed = true
 	d.link.SetServerCount(len(d.servers.servers))
 	d.serversMu.Unlock()
-	d.serversRevision.Store(image.Revision)
-	d.serversDigest.Store(image.Digest())
+	v := image.Version()
+	d.serversCurrent.Store(&v)
 	d.updateServers()
 	d.link.Broadcast(true, func(p *carobstilev1.EdgePacket) { d.fillVersions(p) })
 }
@@ -279,7 +300,7 @@
 		d.serversMu.Lock()
 		dropped := d.servers.expire(time.Now())
 		d.serversMu.Unlock()
-		if dropped || d.link.CellsChanged() {
+		if d.evacuations.expire(d.now()) || dropped || d.link.CellsChanged() {
 			d.updateServers()
 		}
 		d.shareBudget()
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -72,7 +72,7 @@
 // Guards against a daemon that has just started, and that the store refuses, which takes no server entries from its
 // neighbours although it did not get the datagram with a change.
 func TestStartingDaemonFetchesEntries(t *testing.T) {
-	d := &Daemon{start: time.Now(), serversListed: true, log: evlog.Discard(), settings: &Settings{}}
+	d := &Daemon{eras: directory.NewEras(nil), start: time.Now(), serversListed: true, log: evlog.Discard(), settings: &Settings{}}
 	d.relays = newRelays(d)
 	d.config = directory.NewFollower(KindConfig, nil, d.log, directory.Options{})
 	d.serverEntries = directory.NewFollower(KindServers, nil, d.log, directory.Options{})
@@ -138,7 +138,7 @@
 // Guards against an entry that stays in the store because the daemon removed it before its own first write took effect.
 func TestEntryIsRemovedAfterItsWrite(t *testing.T) {
 	store := &slowMemberStore{delay: 100 * time.Millisecond}
-	d := &Daemon{settings: &Settings{Name: "a"}, adapter: Adapter{Store: store}, log: evlog.Discard()}
+	d := &Daemon{eras: directory.NewEras(nil), settings: &Settings{Name: "a"}, adapter: Adapter{Store: store}, log: evlog.Discard()}
 	ctx, cancel := context.WithCancel(t.Context())
 	written := make(chan error, 1)
 	go func() { written <- d.writeOwnEntry(ctx) }()
--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -15,7 +15,6 @@
 	"github.com/carobstile/carobstile/internal/directory"
 	"github.com/carobstile/carobstile/internal/dispatch"
 	"github.com/carobstile/carobstile/internal/routing"
-	"github.com/carobstile/carobstile/internal/spread"
 )
 
 const (
@@ -27,6 +26,8 @@
 	evacuationWatchShare = 0.25
 	// evacuationEndTTL is how long the end of an evacuation is kept to derive cold times. Servers are cold for some seconds.
 	evacuationEndTTL = core.Hour
+	// restoredEvacuationTTL is how long an evacuation that a restored store lacks stays in force without having been written again.
+	restoredEvacuationTTL = 10 * core.Second
 	// seedCopyWait is how long a starting daemon waits for the copy of a seed before it lists the evacuations itself.
 	seedCopyWait = 200 * time.Millisecond
 )
@@ -42,24 +43,27 @@
 	follower *directory.Follower
 	copies   *copyFetcher
 
-	// isKnown is set once there is a copy. revision and digest are those of the copy; they are atomic because the packets are also
-	// filled in by callbacks of the follower.
-	isKnown          atomic.Bool
-	revision, digest atomic.Uint64
+	// current is the version of the copy, nil while there is none. It is atomic because the packets are also filled in by callbacks of the
+	// follower.
+	current atomic.Pointer[directory.Version]
 
 	mu sync.Mutex
 	// domains holds the evacuated failure domains; the value is set if it was logged that no server of the domain is known.
 	domains map[string]bool
 	// ends holds the times at which this daemon learned that evacuations had ended.
 	ends map[string]core.Micros
+	// era is that of the copy. keptUntil holds the evacuations that the copy lacks since the store was restored from an older copy, and how
+	// long they stay in force without having been written again.
+	era       uint64
+	keptUntil map[string]core.Micros
 }
 
 func newEvacuations(d *Daemon) *evacuations {
-	e := &evacuations{daemon: d, domains: map[string]bool{}, ends: map[string]core.Micros{}}
+	e := &evacuations{daemon: d, domains: map[string]bool{}, ends: map[string]core.Micros{}, keptUntil: map[string]core.Micros{}}
 	e.copies = newCopyFetcher(d, KindEvacuations, e.version, d.isFirstWatcher)
 	bound := d.settings.evacuationBound()
 	e.follower = directory.NewFollower(KindEvacuations, d.adapter.Store, d.log, directory.Options{
-		OnChange: e.changed, OnRead: d.broadcastDelta(KindEvacuations), IsWatcher: d.isFirstWatcher, ProbesOutage: d.probesOutage,
+		Eras: d.eras, OnChange: e.changed, OnRead: d.broadcastDelta(KindEvacuations), IsWatcher: d.isFirstWatcher, ProbesOutage: d.probesOutage,
 		RelyOnNeighbors: true, MaxStaleness: time.Duration(evacuationStalenessShare * float64(bound)),
 		OnConfirmed: func() { d.link.Broadcast(true, d.fillVersions) },
 		RareChanges: true, WatchWait: time.Duration(evacuationWatchShare * float64(bound)),
@@ -86,15 +90,21 @@
 	return out
 }
 
+// follower returns the follower of a kind that this daemon reads.
+func (d *Daemon) follower(kind string) *directory.Follower {
+	i := slices.IndexFunc(d.followers(), func(f *directory.Follower) bool { return f.Kind() == kind })
+	return d.followers()[i]
+}
+
 // changed applies a new copy. It is called while the follower is locked.
 func (e *evacuations) changed(image directory.Image, _ bool) {
-	digest := image.Digest()
-	e.revision.Store(image.Revision)
-	if old := e.digest.Swap(digest); e.isKnown.Load() && old == digest {
+	v := image.Version()
+	if old := e.current.Load(); old != nil && old.Era == v.Era && old.Digest == v.Digest {
+		e.current.Store(&v)
 		return // a list without a change
 	}
 	e.apply(image)
-	e.isKnown.Store(true)
+	e.current.Store(&v) // after the domains are applied: nothing is forwarded before they are known
 	e.daemon.updateServers()
 	e.daemon.link.Broadcast(true, e.daemon.fillVersions)
 }
@@ -105,14 +115,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	maps.DeleteFunc(e.ends, func(_ string, end core.Micros) bool { return end+evacuationEndTTL <= now })
+	e.keepMissing(now, image)
 	for domain := range e.domains {
-		if _, ok := image.Objects[domain]; !ok {
-			delete(e.domains, domain)
-			e.ends[domain] = now
-			e.daemon.log.Info("evacuation ended", "domain", domain, "revision", image.Revision)
+		_, kept := e.keptUntil[domain]
+		if _, ok := image.Objects[domain]; !ok && !kept {
+			e.end(now, domain, image.Revision)
 		}
 	}
 	for domain, o := range image.Objects {
+		delete(e.keptUntil, domain)
 		if _, ok := e.domains[domain]; !ok {
 			e.domains[domain] = false
 			delete(e.ends, domain)
@@ -121,8 +132,49 @@
 	}
 }
 
+// keepMissing keeps the evacuations in force that the first copy of a later era lacks: the operator may have written them after the copy
+// from which the store was restored, and writes them again. The caller holds mu.
+func (e *evacuations) keepMissing(now core.Micros, image directory.Image) {
+	if image.Era > e.era && e.era != 0 {
+		for domain := range e.domains {
+			if _, ok := image.Objects[domain]; !ok {
+				e.keptUntil[domain] = now + restoredEvacuationTTL
+				e.daemon.log.Warn("restored store lacks an evacuation, it stays in force for some time", "domain", domain, "era", image.Era,
+					"for_ms", restoredEvacuationTTL/core.Millisecond)
+			}
+		}
+	}
+	e.era = max(e.era, image.Era)
+}
+
+// end ends an evacuation. The caller holds mu.
+func (e *evacuations) end(now core.Micros, domain string, revision uint64) {
+	delete(e.domains, domain)
+	e.ends[domain] = now
+	e.daemon.log.Info("evacuation ended", "domain", domain, "revision", revision)
+}
+
+// expire ends the evacuations that were kept for a restored store and have not been written again. It reports whether there were any.
+func (e *evacuations) expire(now core.Micros) bool {
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	expired := false
+	for domain, until := range e.keptUntil {
+		if now < until {
+			continue
+		}
+		delete(e.keptUntil, domain)
+		e.end(now, domain, e.version().Revision)
+		expired = true
+	}
+	return expired
+}
+
 // known reports whether this daemon knows which domains are evacuated. Before that it forwards nothing.
-func (e *evacuations) known() bool { return e == nil || e.isKnown.Load() }
+func (e *evacuations) known() bool { return e == nil || e.current.Load() != nil }
 
 // failing reports whether the last call to the store failed.
 func (e *evacuations) failing() bool { return e != nil && e.follower.Failing() }
@@ -155,21 +207,30 @@
 
 // fillVersions sets the version of this daemon's copy and the age of its confirmation by the store.
 func (e *evacuations) fillVersions(p *carobstilev1.EdgePacket) {
-	if e == nil || !e.isKnown.Load() {
+	if e == nil || e.current.Load() == nil {
 		return
 	}
-	if age, ok := e.follower.ConfirmedAge(); ok { // read before the digest, so that it is not younger than that
+	if age, ok := e.follower.ConfirmedAge(); ok { // read before the version, so that it is not younger than that
 		p.EvacuationsConfirmedMicrosAgo = proto.Int64(int64(core.FromDuration(age)))
 	}
-	p.EvacuationsRevision, p.EvacuationsDigest = e.revision.Load(), e.digest.Load()
+	v := e.version()
+	p.EvacuationsEra, p.EvacuationsRevision, p.EvacuationsDigest = v.Era, v.Revision, v.Digest
 }
 
 // version returns the version of this daemon's copy.
-func (e *evacuations) version() spread.Version {
-	if !e.isKnown.Load() {
+func (e *evacuations) version() directory.Version {
+	if e.current.Load() == nil {
 		return unknownVersion
 	}
-	return spread.Version{Revision: e.revision.Load(), Digest: e.digest.Load()}
+	return versionOf(&e.current)
+}
+
+// knownVersion returns the version of the copy, the zero Version if there is none.
+func (e *evacuations) knownVersion() directory.Version {
+	if e == nil {
+		return directory.Version{}
+	}
+	return versionOf(&e.current)
 }
 
 // heard applies a neighbour's confirmation, and starts to get its copy if that is newer.
@@ -177,11 +238,11 @@
 	if e == nil {
 		return
 	}
+	v := directory.Version{Era: p.GetEvacuationsEra(), Revision: p.GetEvacuationsRevision(), Digest: p.GetEvacuationsDigest()}
 	if p.EvacuationsConfirmedMicrosAgo != nil {
-		age := core.Micros(p.GetEvacuationsConfirmedMicrosAgo()).Duration()
-		e.follower.Confirm(p.GetEvacuationsRevision(), p.GetEvacuationsDigest(), age)
+		e.follower.Confirm(v, core.Micros(p.GetEvacuationsConfirmedMicrosAgo()).Duration())
 	}
-	e.copies.heard(p, spread.Version{Revision: p.GetEvacuationsRevision(), Digest: p.GetEvacuationsDigest()})
+	e.copies.heard(p, v)
 }
 
 // countEvacuated returns the numbers of evacuated domains and of their servers.
--- a/internal/edge/evacuations_test.go
+++ b/internal/edge/evacuations_test.go
@@ -25,7 +25,7 @@
 // end or that services without them get, and against a line in the log for each update about a domain without servers.
 func TestServersAreColdAfterAnEvacuation(t *testing.T) {
 	var log bytes.Buffer
-	d := &Daemon{settings: &Settings{EvacuationBoundMS: 5_000}, start: time.Now(), log: slog.New(slog.NewTextHandler(&log, nil))}
+	d := &Daemon{eras: directory.NewEras(nil), settings: &Settings{EvacuationBoundMS: 5_000}, start: time.Now(), log: slog.New(slog.NewTextHandler(&log, nil))}
 	e := newEvacuations(d)
 	table := routing.NewTable(routing.Config{Services: []routing.Service{{Name: "llm", ColdStart: 9 * time.Second}, {Name: "desk"}}})
 	mark := func(after core.Micros) []dispatch.Server {
@@ -52,13 +52,13 @@
 func TestOlderStateDoesNotReplaceAnEvacuation(t *testing.T) {
 	link, err := neighbors.Listen(&carobstilev1.EdgeMember{Name: "self", PacketAddress: "127.0.0.1:0"}, nopHandler{}, evlog.Discard())
 	require.NoError(t, err)
-	d := &Daemon{settings: &Settings{EvacuationBoundMS: 5_000}, start: time.Now(), log: evlog.Discard(), link: link}
+	d := &Daemon{eras: directory.NewEras(nil), settings: &Settings{EvacuationBoundMS: 5_000}, start: time.Now(), log: evlog.Discard(), link: link}
 	d.servers = newServerList(nil, evlog.Discard())
 	d.servers.servers["p"] = dispatch.Server{ID: "p", Service: "desk", Domain: "z2"}
 	d.scheduler = newScheduler("z1", "self", d.now, evlog.Discard())
 	d.relays = newRelays(d)
 	d.evacuations = newEvacuations(d)
-	d.evacuations.isKnown.Store(true)
+	d.evacuations.current.Store(&directory.Version{})
 	services := []routing.Service{{Name: "desk"}}
 	d.table.Store(routing.NewTable(routing.Config{Services: services}))
 	few := d.table.Load()
--- a/internal/edge/fetch.go
+++ b/internal/edge/fetch.go
@@ -60,8 +60,9 @@
 			continue
 		}
 		w := &carobstilev1.EdgeWanted{Kind: f.Kind()}
-		if image, known := f.Image(); known {
-			w.Digests = image.Digests()
+		latest, _ := d.eras.Latest()
+		if image, known := f.Image(); known && (image.Era != 0 || latest == 0) { // parts of a copy of an unknown era cannot be replaced
+			w.Era, w.Digests = image.Era, image.Digests()
 		}
 		out = append(out, w)
 	}
@@ -84,6 +85,7 @@
 			}
 		}
 	}
+	d.adoptHeldConfig(m.GetHeldConfig())
 }
 
 // peerService serves fetches of other daemons.
@@ -110,8 +112,8 @@
 			if !known || f.Kind() != w.GetKind() {
 				continue
 			}
-			diff := image.Diff(w.GetDigests())
-			if !s.d.copyFetcherOf(f.Kind()).admit(s.d.now(), diff) {
+			diff := image.Diff(w.GetEra(), w.GetDigests())
+			if !s.d.copyFetcherOf(f.Kind()).admit(s.d.now(), diff, len(w.GetDigests()) > 0) {
 				out.Busy = append(out.Busy, f.Kind())
 				continue
 			}
@@ -122,11 +124,14 @@
 			out.Images = append(out.Images, encoded)
 		}
 	}
+	if !req.Msg.GetCopiesOnly() {
+		out.HeldConfig = s.d.encodeHeldConfig()
+	}
 	return connect.NewResponse(out), nil
 }
 
 func encodeDiff(d directory.Diff) (*carobstilev1.EdgeImage, error) {
-	out := &carobstilev1.EdgeImage{Kind: d.Kind, Revision: d.Revision, Whole: d.Full, Buckets: d.Buckets}
+	out := &carobstilev1.EdgeImage{Kind: d.Kind, Era: d.Era, Revision: d.Revision, Whole: d.Full, Buckets: d.Buckets}
 	for _, o := range d.Objects {
 		data, err := json.Marshal(o)
 		if err != nil {
@@ -140,7 +145,7 @@
 // decodeDiff decodes a neighbour's copy. Objects that cannot be decoded are left out.
 func (d *Daemon) decodeDiff(i *carobstilev1.EdgeImage) directory.Diff {
 	out := directory.Diff{
-		Image: directory.Image{Kind: i.GetKind(), Revision: i.GetRevision(), Objects: map[string]platform.Object{}},
+		Image: directory.Image{Kind: i.GetKind(), Era: i.GetEra(), Revision: i.GetRevision(), Objects: map[string]platform.Object{}},
 		Full:  i.GetWhole(), Buckets: i.GetBuckets(),
 	}
 	for _, o := range d.decodeObjects(i.GetObjects()) {
--- a/internal/edge/fetch_test.go
+++ b/internal/edge/fetch_test.go
@@ -28,6 +28,7 @@
 	link, err := neighbors.Listen(self, nopHandler{}, evlog.Discard())
 	require.NoError(t, err)
 	d := &Daemon{
+		eras:     directory.NewEras(nil),
 		settings: &Settings{Name: name, FailureDomain: "z1", EvacuationBoundMS: 5_000}, start: time.Now().Add(-age), log: evlog.Discard(),
 		link: link, servers: newServerList(fakeCodec{}, evlog.Discard()),
 	}
@@ -38,7 +39,7 @@
 	d.config = directory.NewFollower(KindConfig, nil, d.log, directory.Options{})
 	d.serverEntries = directory.NewFollower(KindServers, nil, d.log, directory.Options{})
 	d.evacuations = newEvacuations(d)
-	d.evacuations.isKnown.Store(true)
+	d.evacuations.current.Store(&directory.Version{})
 	d.table.Store(routing.NewTable(routing.Config{Services: []routing.Service{
 		{Name: "s", ColdStart: 9 * time.Second, ColdPerSecond: coldRate}, {Name: "evacuated", ColdStart: 9 * time.Second, ColdPerSecond: coldRate},
 	}}))
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -12,6 +12,7 @@
 func (d *Daemon) publishGauges(ctx context.Context) {
 	scope := d.metrics.Scope.SubScope("belief")
 	version, servers, leaving := scope.Gauge("config_version"), scope.Gauge("servers"), scope.Gauge("servers_leaving")
+	held := scope.Gauge("config_newer_than_store")
 	daemons, open := scope.Gauge("daemons_heard"), scope.Gauge("requests_open")
 	wide, cold := scope.Gauge("wide_prompts_queued"), scope.Gauge("servers_cold")
 	domains, evacuated := scope.Gauge("evacuated_domains"), scope.Gauge("servers_evacuated")
@@ -21,6 +22,10 @@
 		if table := d.table.Load(); table != nil {
 			version.Update(float64(table.Version))
 		}
+		held.Update(0)
+		if d.inForce.isHeld() {
+			held.Update(1)
+		}
 		known, leavingCount := d.countServers()
 		servers.Update(float64(known))
 		leaving.Update(float64(leavingCount))
@@ -42,6 +47,8 @@
 		domainsLeftFor = d.publishDomains(domainsLeftFor)
 		for _, f := range d.followers() {
 			kindScope := scope.Tagged(map[string]string{"kind": f.Kind()})
+			image, _ := f.Image()
+			kindScope.Gauge("store_era").Update(float64(image.Era))
 			kindScope.Gauge("store_age_seconds").Update(f.StoreAge(time.Now()).Seconds())
 			kindScope.Gauge("staleness_seconds").Update(f.Staleness().Seconds())
 			kindScope.Gauge("changed_age_seconds").Update(f.ChangedAge(time.Now()).Seconds())
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -36,7 +36,13 @@
 func (d *Daemon) maintainMembership(ctx context.Context) {
 	pause := memberRetryDelay
 	var writtenAt time.Time
+	var era uint64
 	for ctx.Err() == nil {
+		latest, _ := d.eras.Latest()
+		if era != 0 && latest != era {
+			writtenAt = time.Time{} // a restored store may lack the entry
+		}
+		era = latest
 		err := d.refreshMembers(ctx, &writtenAt)
 		pause = memberListInterval/2 + rand.N(memberListInterval)
 		if err != nil {
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -11,9 +11,9 @@
 
 	carobstilev1 "github.com/carobstile/carobstile/gen/carobstile/v1"
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/directory"
 	"github.com/carobstile/carobstile/internal/dispatch"
 	"github.com/carobstile/carobstile/internal/neighbors"
-	"github.com/carobstile/carobstile/internal/spread"
 )
 
 // fetchDelay is how long a neighbour's copy may be newer before it is fetched. Normally a change reaches every daemon
@@ -47,6 +47,7 @@
 	if restarted {
 		d.scheduler.Step(dispatch.PeerRestarted{Now: now, Peer: peer})
 	}
+	d.eras.Meet(max(p.GetServersEra(), p.GetEvacuationsEra(), p.GetConfigEra()), peer)
 	d.relays.heard(p) // before the ends of jobs, which say which servers were reached
 	for _, q := range p.GetQueued() {
 		d.scheduler.Step(dispatch.PeerQueued{Now: now, Peer: peer, Queued: decodeQueued(q)})
@@ -82,11 +83,11 @@
 	for _, delta := range p.GetDeltas() {
 		d.applyDelta(delta)
 	}
+	servers := directory.Version{Era: p.GetServersEra(), Revision: p.GetServersRevision(), Digest: p.GetServersDigest()}
 	if p.ServersConfirmedMicrosAgo != nil {
-		age := core.Micros(p.GetServersConfirmedMicrosAgo()).Duration()
-		d.serverEntries.Confirm(p.GetServersRevision(), p.GetServersDigest(), age)
+		d.serverEntries.Confirm(servers, core.Micros(p.GetServersConfirmedMicrosAgo()).Duration())
 	}
-	d.serverCopies.heard(p, spread.Version{Revision: p.GetServersRevision(), Digest: p.GetServersDigest()})
+	d.serverCopies.heard(p, servers)
 	d.evacuations.heard(p)
 	d.configCopy.heard(p)
 	if d.configOutdated(p) {
@@ -111,20 +112,21 @@
 	})
 }
 
-// configOutdated reports whether the sender has a newer configuration in force, of a daemon that does not compare copies by their
-// revisions with this one.
+// configOutdated reports whether the sender has a newer configuration in force, if the store does not hold that one or the sender does not
+// compare copies by their versions in the store with this daemon.
 func (d *Daemon) configOutdated(p *carobstilev1.EdgePacket) bool {
 	own := int64(0)
 	if table := d.table.Load(); table != nil {
 		own = table.Version
 	}
+	if p.GetConfigHeld() {
+		return d.inForce.lacks(p.GetConfigVersion())
+	}
 	return p.GetConfigVersion() > own && !d.configCopy.compares(p)
 }
 
 // serversVersion returns the version of this daemon's copy of the servers' entries.
-func (d *Daemon) serversVersion() spread.Version {
-	return spread.Version{Revision: d.serversRevision.Load(), Digest: d.serversDigest.Load()}
-}
+func (d *Daemon) serversVersion() directory.Version { return versionOf(&d.serversCurrent) }
 
 // startingUp reports whether this daemon is initialized but started less than startupPeriod ago, and the store answers
 // it. While a deployment starts, the servers' entries change continuously and neighbours' copies are outdated at once.
@@ -139,10 +141,12 @@
 		p.ConfigVersion = table.Version
 	}
 	p.StoreFailing = d.storeFailing()
-	if age, ok := d.serverEntries.ConfirmedAge(); ok { // read before the digest, so that it is not younger than that
+	if age, ok := d.serverEntries.ConfirmedAge(); ok { // read before the version, so that it is not younger than that
 		p.ServersConfirmedMicrosAgo = proto.Int64(int64(core.FromDuration(age)))
 	}
-	p.ServersRevision, p.ServersDigest = d.serversRevision.Load(), d.serversDigest.Load()
+	servers := d.serversVersion()
+	p.ServersEra, p.ServersRevision, p.ServersDigest = servers.Era, servers.Revision, servers.Digest
+	p.ConfigHeld = d.inForce.isHeld()
 	d.evacuations.fillVersions(p)
 	d.configCopy.fillVersions(p)
 }
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -20,6 +20,11 @@
 	// outage; at least minOutageEntries have to disappear.
 	outageShare      = 0.4
 	minOutageEntries = 2
+	// departureMemory is how long the removal of an entry is remembered. A store is restored from a copy that is some seconds old.
+	departureMemory = time.Minute
+	// restoredEntryTTL is how long the entry of a process that is gone can stay in a restored store, which removes it after three intervals
+	// without a sign of life.
+	restoredEntryTTL = 5 * time.Second
 )
 
 // serverList derives the usable servers from images of the store.
@@ -33,6 +38,25 @@
 	unreadable map[string]uint64
 	// colds holds when the servers are no longer cold, by their entries.
 	colds map[string]coldEntry
+	// image is the latest one. departed holds the processes whose entries were removed recently, and outdated the entries that a restored
+	// store has brought back although their processes had left or were leaving.
+	image    directory.Image
+	departed map[string]departure
+	outdated map[string]outdatedEntry
+}
+
+// departure is the removal of the entry of a process.
+type departure struct {
+	startedAt int64
+	at        time.Time
+}
+
+// outdatedEntry is the revision of an entry that is older than what this daemon knows. The process is taken for leaving until the entry is
+// written again, or until a time by which the store has removed the entry of a process that is gone; that is zero for a process that had said that
+// it was leaving.
+type outdatedEntry struct {
+	revision uint64
+	until    time.Time
 }
 
 // coldEntry is the end of a process's cold time by its entry: the latest by all revisions, each counted from when this daemon first saw it.
@@ -55,13 +79,19 @@
 func newServerList(codec Codec, log *slog.Logger) *serverList {
 	return &serverList{
 		codec: codec, log: log, servers: map[string]dispatch.Server{}, graceEnds: map[string]time.Time{},
-		unreadable: map[string]uint64{}, colds: map[string]coldEntry{},
+		unreadable: map[string]uint64{}, colds: map[string]coldEntry{}, departed: map[string]departure{}, outdated: map[string]outdatedEntry{},
 	}
 }
 
-// update applies an image; outage says that it was read at the end of an outage of the store or shortly after.
+// update applies an image; outage says that it was read at the end of an outage of the store or shortly after, or is of a restored store.
 func (l *serverList) update(now time.Time, image directory.Image, outage bool) {
+	restored := image.Era > l.image.Era && l.image.Era != 0
+	l.image = image
 	present := l.decode(now, image)
+	if restored {
+		l.distrustRestored(now, present)
+	}
+	l.markOutdated(present)
 	for id := range present {
 		delete(l.graceEnds, id)
 	}
@@ -98,22 +128,80 @@
 		return true
 	}
 	delete(l.graceEnds, id)
-	l.log.Info("server is gone", "server", id)
+	l.depart(now, l.servers[id])
 	return false
 }
 
+// depart records that a process is gone.
+func (l *serverList) depart(now time.Time, s dispatch.Server) {
+	l.log.Info("server is gone", "server", s.ID)
+	maps.DeleteFunc(l.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departureMemory })
+	l.departed[s.ID] = departure{startedAt: s.StartedAt, at: now}
+}
+
+// distrustRestored records which entries of a restored store are older than what this daemon knows of their processes.
+func (l *serverList) distrustRestored(now time.Time, present map[string]dispatch.Server) {
+	clear(l.outdated)
+	for id, s := range present {
+		old, listed := l.servers[id]
+		gone, departed := l.departed[id]
+		e := outdatedEntry{revision: l.image.Objects[id].Version}
+		switch {
+		case listed && old.Leaving && !s.Leaving && old.StartedAt == s.StartedAt:
+		case !listed && departed && gone.startedAt == s.StartedAt:
+			e.until = now.Add(restoredEntryTTL)
+		default:
+			continue
+		}
+		l.outdated[id] = e
+		l.log.Info("restored store lists a server that has left or is leaving", "server", id, "started_at", s.StartedAt, "revision", e.revision,
+			"leaving", listed)
+	}
+}
+
+// markOutdated marks the servers with outdated entries as leaving, and forgets the entries that were written again or removed.
+func (l *serverList) markOutdated(present map[string]dispatch.Server) {
+	for id, e := range l.outdated {
+		s, ok := present[id]
+		if !ok || l.image.Objects[id].Version != e.revision {
+			delete(l.outdated, id)
+			continue
+		}
+		s.Leaving = true
+		present[id] = s
+	}
+}
+
+// trustListed forgets the outdated entries that the store has kept for long enough to show that their processes live. It reports whether there
+// were any.
+func (l *serverList) trustListed(now time.Time) bool {
+	trusted := false
+	for id, e := range l.outdated {
+		if e.until.IsZero() || now.Before(e.until) {
+			continue
+		}
+		delete(l.outdated, id)
+		l.log.Info("server that was taken for gone is still listed", "server", id)
+		trusted = true
+	}
+	if trusted {
+		l.update(now, l.image, false)
+	}
+	return trusted
+}
+
 // expire drops servers whose grace period is over. It reports whether there were any.
 func (l *serverList) expire(now time.Time) bool {
-	dropped := false
+	dropped := l.trustListed(now)
 	for id, until := range l.graceEnds {
 		if now.Before(until) {
 			continue
 		}
+		l.depart(now, l.servers[id])
 		delete(l.graceEnds, id)
 		delete(l.servers, id)
 		delete(l.colds, id)
 		dropped = true
-		l.log.Info("server is gone", "server", id)
 	}
 	return dropped
 }
@@ -138,7 +226,7 @@
 			l.colds[name] = l.colds[name].next(now, o.Version, s)
 		}
 		s.ColdFor = 0 // list sets what remains
-		if old, known := l.servers[name]; known && old != s {
+		if old, known := l.servers[name]; known && old != s && l.outdated[name].revision != o.Version {
 			l.log.Info("server changed", "server", name, "leaving", s.Leaving, "revision", o.Version)
 		}
 		out[name] = s
--- a/internal/edge/watchers.go
+++ b/internal/edge/watchers.go
@@ -67,7 +67,7 @@
 
 // sendDelta sends a change to the neighbours. They fetch one that is too large for a datagram, as they hear of its revision.
 func (d *Daemon) sendDelta(kind string, before uint64, w platform.Watch) {
-	delta := &carobstilev1.EdgeDelta{Kind: kind, Revision: w.Revision, FromDigest: before}
+	delta := &carobstilev1.EdgeDelta{Kind: kind, Era: w.Era, Revision: w.Revision, FromDigest: before}
 	for _, o := range w.Objects {
 		data, err := json.Marshal(o)
 		if err != nil {
@@ -90,7 +90,7 @@
 
 // applyDelta applies a change that a neighbour read from the store.
 func (d *Daemon) applyDelta(delta *carobstilev1.EdgeDelta) {
-	w := platform.Watch{Revision: delta.GetRevision(), Objects: d.decodeObjects(delta.GetObjects())}
+	w := platform.Watch{Era: delta.GetEra(), Revision: delta.GetRevision(), Objects: d.decodeObjects(delta.GetObjects())}
 	for _, f := range d.followers() {
 		if f.Kind() == delta.GetKind() && (f != d.config || d.configCopy != nil) {
 			f.ApplyChange(delta.GetFromDigest(), w)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -68,6 +68,8 @@
 type Watch struct {
 	// Revision is the revision to pass to the next WatchAfter call.
 	Revision uint64 `json:"revision"`
+	// Era is the era of the store that the answer names; 0 if it names none.
+	Era uint64 `json:"era,omitempty"`
 	// Objects are the changed objects, in the order of their changes; empty on a timeout. A deleted object has Version 0.
 	Objects []Object `json:"objects"`
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/directory"
 )
 
 const (
@@ -33,16 +34,10 @@
 	maxBroadcastBytes = 256 << 10
 )
 
-// Version identifies the content of a copy.
-type Version struct{ Revision, Digest uint64 }
-
-// Newer reports whether v has other content than an older version.
-func (v Version) Newer(old Version) bool { return v.Revision > old.Revision && v.Digest != old.Digest }
-
 // Holder is a daemon that has announced its copy.
 type Holder struct {
 	Name, Address, Domain string
-	Version               Version
+	Version               directory.Version
 }
 
 // Holders are the daemons with newer copies than this daemon's, by name.
@@ -64,19 +59,19 @@
 
 // Choose returns a random one of the daemons that have the newest copy, if possible in the given failure domain, and false if none has
 // a newer one than own.
-func (h *Holders) Choose(own Version, domain string) (Holder, bool) {
-	var newest Version
+func (h *Holders) Choose(own directory.Version, domain string) (Holder, bool) {
+	var newest directory.Version
 	for name, x := range h.byName {
 		if !x.Version.Newer(own) {
 			delete(h.byName, name)
-		} else if x.Version.Revision > newest.Revision {
+		} else if x.Version.After(newest) {
 			newest = x.Version
 		}
 	}
 	var near, far []Holder
 	for _, x := range h.byName {
 		switch {
-		case x.Version.Digest != newest.Digest:
+		case x.Version.Era != newest.Era || x.Version.Digest != newest.Digest:
 		case x.Domain == domain:
 			near = append(near, x)
 		default:
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/directory"
 )
 
 // attempt is the next one of a simulated daemon.
@@ -22,7 +23,7 @@
 // compression to a quarter, and returns when the last one has it and the largest number of copies that one daemon sent.
 func spreadTime(daemons, bytes int) (last core.Micros, most int) {
 	const way, linkBytesPerSecond, compression = core.Millisecond, 2_500_000, 4
-	old, newer := Version{1, 1}, Version{2, 2}
+	old, newer := directory.Version{Revision: 1, Digest: 1}, directory.Version{Revision: 2, Digest: 2}
 	transfer := core.Micros(bytes/compression) * core.Second / linkBytesPerSecond
 	domain := func(i int) string { return fmt.Sprint("z", i%3) }
 	hasAt := map[int]core.Micros{0: 0, 1: 0}
@@ -76,14 +77,14 @@
 // traffic between failure domains that is not needed.
 func TestNewestAndNearestHolderIsAsked(t *testing.T) {
 	var h Holders
-	own := Version{Revision: 5, Digest: 50}
-	h.Add(Holder{Name: "older", Version: Version{4, 40}})
-	h.Add(Holder{Name: "same", Version: Version{9, 50}})
+	own := directory.Version{Revision: 5, Digest: 50}
+	h.Add(Holder{Name: "older", Version: directory.Version{Revision: 4, Digest: 40}})
+	h.Add(Holder{Name: "same", Version: directory.Version{Revision: 9, Digest: 50}})
 	_, ok := h.Choose(own, "z1")
 	require.False(t, ok)
-	h.Add(Holder{Name: "newer", Domain: "z1", Version: Version{6, 60}})
-	h.Add(Holder{Name: "newest", Domain: "z2", Version: Version{7, 70}})
-	h.Add(Holder{Name: "listed later", Domain: "z1", Version: Version{8, 70}})
+	h.Add(Holder{Name: "newer", Domain: "z1", Version: directory.Version{Revision: 6, Digest: 60}})
+	h.Add(Holder{Name: "newest", Domain: "z2", Version: directory.Version{Revision: 7, Digest: 70}})
+	h.Add(Holder{Name: "listed later", Domain: "z1", Version: directory.Version{Revision: 8, Digest: 70}})
 	for range 20 {
 		got, ok := h.Choose(own, "z1")
 		require.True(t, ok)
