reach: plain servers show a cut too, and neighbours are asked what they reach

Cause: only engines counted, and only first events and changed reports of neighbours were evidence that a server lives; without prompts there were none. A probe that was reset after its connection had been made was noted as one that could not connect.

A daemon that suspects a cut, or is cut off, asks four daemons each half second which failing servers have answered them (EdgeService.Reached), two of its own failure domain and two of others, also of other cells. They probe what they don't know, engines by their report and plain servers by their health path, at most four each half second. Nothing is sent while nobody suspects a cut. Each answer of a server, also one that refuses, and each report counts as a way to it.

--- a/gen/carobstile/v1/carobstilev1connect/edge.connect.go
+++ b/gen/carobstile/v1/carobstilev1connect/edge.connect.go
@@ -35,6 +35,8 @@
 const (
 	// EdgeServiceFetchProcedure is the fully-qualified name of the EdgeService's Fetch RPC.
 	EdgeServiceFetchProcedure = "/carobstile.v1.EdgeService/Fetch"
+	// EdgeServiceReachedProcedure is the fully-qualified name of the EdgeService's Reached RPC.
+	EdgeServiceReachedProcedure = "/carobstile.v1.EdgeService/Reached"
 )
 
 // EdgeServiceClient is a client for the carobstile.v1.EdgeService service.
@@ -42,6 +44,9 @@
 	// Fetch returns the members, crash records and ends of cold times that the called daemon knows, and its copies of the requested kinds of
 	// objects in the platform's store.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	// Reached returns which of some backend servers have answered the called daemon recently. A daemon asks a few others when it suspects that it
+	// is cut off from the servers, and while it is.
+	Reached(context.Context, *connect.Request[v1.ReachedRequest]) (*connect.Response[v1.ReachedResponse], error)
 }
 
 // NewEdgeServiceClient constructs a client for the carobstile.v1.EdgeService service. By default,
@@ -61,12 +66,19 @@
 			connect.WithSchema(edgeServiceMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		reached: connect.NewClient[v1.ReachedRequest, v1.ReachedResponse](
+			httpClient,
+			baseURL+EdgeServiceReachedProcedure,
+			connect.WithSchema(edgeServiceMethods.ByName("Reached")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // edgeServiceClient implements EdgeServiceClient.
 type edgeServiceClient struct {
-	fetch *connect.Client[v1.FetchRequest, v1.FetchResponse]
+	fetch   *connect.Client[v1.FetchRequest, v1.FetchResponse]
+	reached *connect.Client[v1.ReachedRequest, v1.ReachedResponse]
 }
 
 // Fetch calls carobstile.v1.EdgeService.Fetch.
@@ -74,11 +86,19 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Reached calls carobstile.v1.EdgeService.Reached.
+func (c *edgeServiceClient) Reached(ctx context.Context, req *connect.Request[v1.ReachedRequest]) (*connect.Response[v1.ReachedResponse], error) {
+	return c.reached.CallUnary(ctx, req)
+}
+
 // EdgeServiceHandler is an implementation of the carobstile.v1.EdgeService service.
 type EdgeServiceHandler interface {
 	// Fetch returns the members, crash records and ends of cold times that the called daemon knows, and its copies of the requested kinds of
 	// objects in the platform's store.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	// Reached returns which of some backend servers have answered the called daemon recently. A daemon asks a few others when it suspects that it
+	// is cut off from the servers, and while it is.
+	Reached(context.Context, *connect.Request[v1.ReachedRequest]) (*connect.Response[v1.ReachedResponse], error)
 }
 
 // NewEdgeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -94,10 +114,18 @@
 		connect.WithSchema(edgeServiceMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	edgeServiceReachedHandler := connect.NewUnaryHandler(
+		EdgeServiceReachedProcedure,
+		svc.Reached,
+		connect.WithSchema(edgeServiceMethods.ByName("Reached")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/carobstile.v1.EdgeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EdgeServiceFetchProcedure:
 			edgeServiceFetchHandler.ServeHTTP(w, r)
+		case EdgeServiceReachedProcedure:
+			edgeServiceReachedHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +138,7 @@
 func (UnimplementedEdgeServiceHandler) Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carobstile.v1.EdgeService.Fetch is not implemented"))
 }
+
+func (UnimplementedEdgeServiceHandler) Reached(context.Context, *connect.Request[v1.ReachedRequest]) (*connect.Response[v1.ReachedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("carobstile.v1.EdgeService.Reached is not implemented"))
+}
--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -43,8 +43,9 @@
 // All calls also return what the server said about itself, with an error too if it answered.
 type EngineClient interface {
 	Report(ctx context.Context, address string) (Report, error)
-	// Probe reads a report over a connection of its own. An error means that there is no way to the server, or that it is down.
-	Probe(ctx context.Context, address string) error
+	// Probe calls a path of a server, "" for the report of an engine, over a connection of its own. An error means that there is no way to the
+	// server, or that it is down; it is marked with upstream.ErrNotSent if no connection was made.
+	Probe(ctx context.Context, address, path string) error
 	// Reserve reserves memory for a number of tokens under an id for the duration hold, or extends the reservation with
 	// that id.
 	Reserve(ctx context.Context, address, id string, tokens int, hold time.Duration) (dispatch.Notice, error)
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -251,7 +251,7 @@
 			ColdStart: core.FromDuration(s.ColdStart), ColdPerSecond: s.ColdPerSecond,
 		}))
 	}
-	d.relays.setServers(usable.servers, services)
+	d.relays.setServers(usable.servers)
 	d.scheduler.Step(dispatch.ServersChanged{
 		Now: d.now(), Servers: usable.servers, Services: services, EvacuationBound: core.FromDuration(d.settings.evacuationBound()),
 		DomainLossPerMB:  d.settings.domainLossPerMB(len(delays) > 0),
--- a/internal/edge/relays.go
+++ b/internal/edge/relays.go
@@ -47,17 +47,25 @@
 	// open counts the requests that each neighbour has, by name. peers holds what each has last said.
 	open  map[string]int
 	peers map[string]relayPeer
+	// answeredProbes holds when servers that this daemon does not use itself answered a probe for another daemon.
+	answeredProbes map[string]core.Micros
+	// probedForOthersAt is when servers were last probed for another daemon.
+	probedForOthersAt core.Micros
 }
 
 type relayPeer struct {
 	cutOff bool
 	config int64
+	// answeredAt is when the neighbour last answered a question; 0 if it has not.
+	answeredAt core.Micros
 }
 
 var _ forward.Relays = (*relays)(nil)
 
 func newRelays(d *Daemon) *relays {
-	return &relays{d: d, view: reach.New(), open: map[string]int{}, peers: map[string]relayPeer{}}
+	return &relays{
+		d: d, view: reach.New(), open: map[string]int{}, peers: map[string]relayPeer{}, answeredProbes: map[string]core.Micros{},
+	}
 }
 
 // Pick implements forward.Relays: of two random neighbours, the one that has fewer requests of this daemon.
@@ -71,7 +79,8 @@
 	var own, others []forward.Neighbour
 	for _, m := range r.d.link.Members() {
 		p, known := r.peers[m.GetName()]
-		if !known || p.cutOff || p.config < version || !slices.Contains(live, m.GetName()) || slices.Contains(exclude, m.GetName()) {
+		heard := slices.Contains(live, m.GetName()) || p.answeredAt > 0 && r.d.now()-p.answeredAt <= answerTTL
+		if !known || p.cutOff || p.config < version || !heard || slices.Contains(exclude, m.GetName()) {
 			continue
 		}
 		n := forward.Neighbour{Name: m.GetName(), Address: m.GetServiceAddress(), Domain: m.GetFailureDomain()}
@@ -134,15 +143,11 @@
 	}
 }
 
-// setServers sets the servers that are usable. Only engines count: neighbours announce what engines answer them.
-func (r *relays) setServers(list []dispatch.Server, services []dispatch.Service) {
-	engines := map[string]bool{}
-	for _, s := range services {
-		engines[s.Name] = s.Model != nil
-	}
-	var ids []string
+// setServers sets the servers that are usable. Those that may get nothing new show nothing about the way to them.
+func (r *relays) setServers(list []dispatch.Server) {
+	ids := make([]string, 0, len(list))
 	for _, s := range list {
-		if engines[s.Service] {
+		if !s.Leaving && !s.Evacuated {
 			ids = append(ids, s.ID)
 		}
 	}
@@ -174,7 +179,9 @@
 		r.view.Hint(r.d.now())
 	}
 	if p.CutOff != nil {
-		r.peers[p.GetSender().GetName()] = relayPeer{cutOff: p.GetCutOff(), config: p.GetConfigVersion()}
+		r.peers[p.GetSender().GetName()] = relayPeer{
+			cutOff: p.GetCutOff(), config: p.GetConfigVersion(), answeredAt: r.peers[p.GetSender().GetName()].answeredAt,
+		}
 	}
 }
 
@@ -193,10 +200,10 @@
 	shell.Every(ctx, reachInterval, func(ctx context.Context) {
 		var change reach.Change
 		var changed bool
-		var probes []string
+		var probes, asks []string
 		r.with(func(now core.Micros, v *reach.View) {
 			change, changed = v.Update(now)
-			probes = v.Probes(now)
+			probes, asks = v.Probes(now), v.Asks(now)
 		})
 		if changed {
 			r.announce(change)
@@ -204,6 +211,9 @@
 		for _, id := range probes {
 			go r.probe(ctx, id)
 		}
+		if len(asks) > 0 {
+			r.ask(ctx, asks)
+		}
 	})
 }
 
@@ -219,25 +229,6 @@
 	})
 }
 
-// probe asks an engine for a report, to see whether this daemon is still cut off.
-func (r *relays) probe(ctx context.Context, id string) {
-	s, ok := r.d.serverByID(id)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	err := r.d.adapter.Engines.Probe(ctx, s.Address)
-	r.with(func(now core.Micros, v *reach.View) {
-		if err != nil {
-			v.Failed(now, id, false)
-			return
-		}
-		v.Opened(now, id)
-		v.Answered(now, id)
-	})
-}
-
 // state returns whether this daemon is cut off and how many requests neighbours have of it.
 func (r *relays) state() (cutOff bool, open int) {
 	r.mu.Lock()
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -68,7 +68,7 @@
 		}
 	}
 	d.log.Info("engine gives no report", "server", s.ID, "err", err)
-	d.scheduler.RecordFailure(s.ID, dispatch.FaultUnreachable)
+	d.scheduler.recordNoReport(s.ID)
 }
 
 func (d *Daemon) fetchReport(ctx context.Context, address string) (Report, error) {
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -100,9 +100,17 @@
 
 // RecordFailure implements forward.Scheduler. The neighbours are notified of servers that are unreachable or stalled, as
 // they cannot use them either, and of refusals, which they count as their own.
-func (s *scheduler) RecordFailure(server string, f dispatch.Fault) {
+func (s *scheduler) RecordFailure(server string, f dispatch.Fault) { s.recordFailure(server, f, f) }
+
+// recordNoReport records that an engine has given no report in time. Whether a connection was made is not known.
+func (s *scheduler) recordNoReport(server string) {
+	s.recordFailure(server, dispatch.FaultUnreachable, dispatch.FaultStalled)
+}
+
+// recordFailure records a failure that shows a fault of the server, and one of the way to it.
+func (s *scheduler) recordFailure(server string, f, way dispatch.Fault) {
 	s.Step(dispatch.ServerFailed{Now: s.now(), Server: server, Fault: f})
-	s.onServer.failed(server, f)
+	s.onServer.failed(server, way)
 	if s.onServer.CutOff() {
 		return // the neighbours reach it
 	}
@@ -127,6 +135,7 @@
 
 // RecordAnswer implements forward.Scheduler.
 func (s *scheduler) RecordAnswer(p dispatch.Process, sent core.Micros, n dispatch.Notice) {
+	s.onServer.answered(p.ID)
 	s.Step(dispatch.ServerAnswered{Now: s.now(), Process: p, Sent: sent, Notice: n})
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -27,10 +27,13 @@
 	probeInterval  = 500 * core.Millisecond
 	probesPerRound = 2
 	suspectProbes  = 4
-	// A daemon suspects that it is cut off while minSuspectFailing servers fail, and no fewer than it reaches; or for hintedWithin after a
+	// A daemon suspects that it is cut off while minSuspectFailing servers fail, and no fewer than it reaches, or any while it reaches none; or for hintedWithin after a
 	// neighbour close by said that it is cut off, while it reaches fewer than minLost servers.
 	minSuspectFailing = 2
 	hintedWithin      = 3 * core.Second
+	// A daemon that suspects a cut, or is cut off, asks others each askInterval for what they reach of at most maxAsked servers that fail it.
+	askInterval = 500 * core.Millisecond
+	maxAsked    = 64
 	// calmAfter is how long no connection may fail before the daemon is no longer cut off: some servers may let it through.
 	calmAfter = 3 * probeInterval
 )
@@ -41,8 +44,8 @@
 	failingSince, failedAt core.Micros
 	silent                 bool
 	openedAt, reachedAt    core.Micros
-	// peerAt is when a neighbour last got an answer.
-	peerAt core.Micros
+	// answeredAt is when the daemon last got an answer, peerAt when a neighbour did.
+	answeredAt, peerAt core.Micros
 }
 
 // lost reports whether neighbours reach the server and this daemon does not.
@@ -71,6 +74,7 @@
 	failedAt core.Micros
 	probedAt core.Micros
 	hintedAt core.Micros
+	askedAt  core.Micros
 }
 
 // New returns the view of a daemon that has tried nothing yet.
@@ -104,7 +108,7 @@
 	if s == nil {
 		return
 	}
-	s.reachedAt = now
+	s.reachedAt, s.answeredAt = now, now
 	if s.silent {
 		s.failingSince, s.silent = 0, false
 	}
@@ -123,13 +127,21 @@
 	s.failedAt, v.failedAt = now, now
 }
 
-// PeerReached records that a neighbour got an answer from a server.
-func (v *View) PeerReached(now core.Micros, id string) {
+// PeerReached records that a neighbour got an answer from a server at a time.
+func (v *View) PeerReached(at core.Micros, id string) {
 	if s := v.servers[id]; s != nil {
-		s.peerAt = now
+		s.peerAt = max(s.peerAt, at)
 	}
 }
 
+// AnsweredAt returns when the daemon last got an answer from a server, and whether the server is listed. It is 0 if there was none.
+func (v *View) AnsweredAt(id string) (at core.Micros, listed bool) {
+	if s := v.servers[id]; s != nil {
+		return s.answeredAt, true
+	}
+	return 0, false
+}
+
 // CutOff reports whether the daemon is cut off.
 func (v *View) CutOff() bool { return v.cutOff }
 
@@ -184,7 +196,24 @@
 		}
 	}
 	hinted := v.hintedAt > 0 && now-v.hintedAt <= hintedWithin
-	return failing >= minSuspectFailing && failing >= reached || hinted && reached < minLost
+	return failing >= minSuspectFailing && failing >= reached || failing > 0 && reached == 0 || hinted && reached < minLost
+}
+
+// Asks returns the servers that fail the daemon, if other daemons are to be asked now whether they reach them.
+func (v *View) Asks(now core.Micros) []string {
+	if now-v.askedAt < askInterval || !v.cutOff && !v.suspects(now) {
+		return nil
+	}
+	v.askedAt = now
+	var ids []string
+	for id, s := range v.servers {
+		if s.failingSince > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(maxAsked, len(ids))]
 }
 
 // Probes returns the servers that are to be probed now, to see whether the daemon is cut off, or still is.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -94,3 +94,28 @@
 	}
 	require.True(t, v.CutOff())
 }
+
+// Guards against a daemon with few servers and few requests that never suspects a cut, and against one that asks others without a pause or
+// while all is well.
+func TestOneFailureIsASuspicionWhereNothingIsReached(t *testing.T) {
+	v := New()
+	v.SetServers([]string{"a", "b"})
+	require.Empty(t, v.Asks(10*core.Second))
+	v.Failed(10*core.Second, "a", true)
+	require.Equal(t, []string{"a"}, v.Asks(10*core.Second))
+	require.Empty(t, v.Asks(10*core.Second+askInterval-1))
+	require.Len(t, v.Probes(10*core.Second), 2)
+	v.Failed(10*core.Second, "b", false)
+	v.PeerReached(10*core.Second+hintDelay-1, "a")
+	v.PeerReached(11*core.Second, "b")
+	_, changed := v.Update(12 * core.Second)
+	require.False(t, changed, "the neighbour's answer from a may be from before")
+	v.PeerReached(11*core.Second, "a")
+	c, changed := v.Update(12 * core.Second)
+	require.True(t, changed && c.CutOff)
+	require.NotEmpty(t, v.Asks(12*core.Second), "to know which neighbours take requests")
+	v.Answered(13*core.Second, "b")
+	at, listed := v.AnsweredAt("b")
+	require.True(t, listed)
+	require.Equal(t, 13*core.Second, at)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -69,6 +69,8 @@
 	Name string
 	// MaxConns is how many connections one server accepts from all daemons together; 0 means no limit.
 	MaxConns int
+	// HealthPath is the path by which a plain service's server says whether it is healthy; "" if there is none.
+	HealthPath string
 	// Engine is the cost model of the service's engines, nil for plain services.
 	Engine *enginecost.Model
 	// Delays are the times between failure domains that the operator has stated.
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -189,16 +189,16 @@
 		return wideKind
 	}
 	total := 0
-	for _, k := range requestKinds {
+	for _, k := range c.cluster.kinds {
 		total += k.weight
 	}
 	left := c.random.IntN(total)
-	for _, k := range requestKinds {
+	for _, k := range c.cluster.kinds {
 		if left -= k.weight; left < 0 {
 			return k
 		}
 	}
-	return requestKinds[0]
+	return c.cluster.kinds[0]
 }
 
 // send sends a request and reports the reply to the checker.
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,8 @@
 // cluster holds the processes, servers and proxies that a run starts.
 type cluster struct {
 	hardLoad bool
+	// kinds are the kinds of requests that callers send.
+	kinds []*requestKind
 	// engines is the number of backends that are engines. They come first.
 	engines     int
 	store       *standin.Store
@@ -100,6 +103,11 @@
 	c := &cluster{
 		hardLoad: s.HardLoad, engines: s.Engines, store: standin.NewStore(), onRun: onRun, onArrival: onArrival, routes: map[string]standin.Route{}, keys: map[string]string{baseKey: workspace},
 	}
+	for _, k := range requestKinds {
+		if len(s.Kinds) == 0 || slices.Contains(s.Kinds, k.name) {
+			c.kinds = append(c.kinds, k)
+		}
+	}
 	if s.HardLoad {
 		c.keys[heavyKey] = heavyWorkspace
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -55,6 +55,8 @@
 	// FaultsMs is the period in which faults start; a period without faults follows, in which the deployment must recover.
 	FaultsMs int     `json:"faultsMs"`
 	Faults   []Fault `json:"faults"`
+	// Kinds are the names of the kinds of requests that callers send; empty for all.
+	Kinds []string `json:"kinds,omitempty"`
 	// HardLoad adds failure domains, their evacuations, cold servers, stalled bodies and a workspace with most of the traffic.
 	HardLoad bool `json:"hardLoad,omitempty"`
 	// Cause describes the failure, in schedules that are kept as regression tests.
@@ -196,6 +198,11 @@
 			return errors.Newf("schedule: %s must be from %d to %d, got %d", b.name, b.low, b.high, b.value)
 		}
 	}
+	for _, name := range s.Kinds {
+		if !slices.ContainsFunc(requestKinds, func(k *requestKind) bool { return k.name == name }) {
+			return errors.Newf("schedule: kinds: kind of request %q does not exist", name)
+		}
+	}
 	for i, f := range s.Faults {
 		if err := f.check(s.specs()); err != nil {
 			return errors.Wrapf(err, "schedule: faults[%d]", i)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -153,6 +153,22 @@
 	requireNoViolations(t, s)
 }
 
+// Guards against daemons that don't find out that they are cut off from all servers while only plain requests come, so that pushes are lost
+// though neighbours reach the servers: no prompt shows the cut, and there are few servers.
+func TestPlainRequestsAtDaemonsCutOffFromServers(t *testing.T) {
+	t.Parallel()
+	for _, kinds := range [][]string{{"once", "again"}, {"once"}} {
+		s := Schedule{Seed: 15, Daemons: 3, Engines: 3, Plain: 3, Callers: 12, FaultsMs: 14_000, Kinds: kinds}
+		for i, variant := range []string{cutSilent, cutRefused, cutRefusedNew} {
+			s.Faults = append(s.Faults, Fault{AtMs: 500 + 9_000*i, Kind: DaemonsCut, Target: i, Variant: variant, ForMs: 8_000})
+		}
+		t.Run(strings.Join(kinds, " and "), func(t *testing.T) {
+			t.Parallel()
+			requireNoViolations(t, s)
+		})
+	}
+}
+
 // Guards against requests with a deadly part that keep crashing engines, and against limits of servers that the daemons together
 // exceed, while daemons are killed and stopped and the store is away.
 func TestDeadlyPartAndLimits(t *testing.T) {
