forward: an attempt is ended only for one that is paid for and has servers

What callers saw: a sound engine read and wrote nothing for 1.35 s, and a daemon that had just started closed one or two of 24 streams in their middle; a silence of 1.9 s cost more.

Cause: the stall detector cancelled an attempt and only then asked the retry budget for the next one. Without a place, with a credit that had lapsed, or without a free engine the stream was lost, though its server went on.

Evidence: a trial length of 1.9 s, which the short limit of 0.4 s does not touch, fails in the same way before, and all lengths hold with this change.

Change: the detector reserves a place that stays good (retrybudget.ReserveHeld, a quarter of a window) and waits for servers while the attempt goes on. Only then is the attempt ended; an event that arrives meanwhile gives both back. Idempotent requests without a complete answer after 0.45 of their time, which ended by a timeout of their connection before, take the same way.

TestAnswersThatFindNoMemory's call of failAnswer has the new parameter; its checks are the same.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -29,14 +29,14 @@
 
 // handleBuffered reads an answer that is not a stream and forwards it. A server error is returned instead, since
 // another server may still run the request successfully.
-func (q *request) handleBuffered(plan dispatch.Plan, id uint64, resp *upstream.Response) (outcome, *bufferedAnswer) {
+func (q *request) handleBuffered(detector *stallDetector, plan dispatch.Plan, id uint64, resp *upstream.Response) (outcome, *bufferedAnswer) {
 	reserved := q.bufferedBytes
 	body, err := q.readAnswer(resp)
 	if err != nil || !resp.Complete() {
 		q.releaseBuffer(q.bufferedBytes - reserved) // the answer is not kept
 		q.h.Scheduler.RecordCancellation(id)
 		q.excludedServers = append(q.excludedServers, plan.Lead.ID)
-		q.failAnswer(plan, err)
+		q.failAnswer(detector, plan, err)
 		return outcomeRetry, nil
 	}
 	q.crashes().RecordCompletion(q.traits, q.sinceSent())
@@ -53,7 +53,7 @@
 }
 
 // failAnswer records why an answer that is not a stream was not read to its end.
-func (q *request) failAnswer(plan dispatch.Plan, err error) {
+func (q *request) failAnswer(detector *stallDetector, plan dispatch.Plan, err error) {
 	if errors.Is(err, errBuffersFull) {
 		q.reason = err.Error()
 		return
@@ -66,6 +66,11 @@
 	if q.ctx.Err() != nil {
 		return
 	}
+	if detector.stalled() {
+		q.reason = errStalled.Error()
+		q.recordFault(plan, dispatch.FaultStalled)
+		return
+	}
 	q.recordFault(plan, dispatch.FaultBroken)
 	if valid && !isTimeout(err) {
 		q.recordBreak(plan, true)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -19,8 +19,8 @@
 const (
 	// maxPlacements bounds how often servers are assigned to one request, including attempts that were not run.
 	maxPlacements = 6
-	// attemptTimeoutShare is the share of the remaining time that an idempotent request waits for the response header
-	// of a server while it can still be retried.
+	// attemptTimeoutShare is the share of the remaining time after which an idempotent request without a complete answer counts as
+	// stalled.
 	attemptTimeoutShare = 0.45
 	// answerBytesPerToken estimates the size of an answer.
 	answerBytesPerToken = 2
@@ -73,6 +73,7 @@
 // placeAndAttempt sends the request to the servers that the scheduler chooses, or to a neighbour. It answers a request that is not sent.
 func (q *request) placeAndAttempt() (outcome, *bufferedAnswer) {
 	if n, ok := q.pickNeighbour(); ok {
+		q.releaseNext()
 		return q.attemptRelay(n)
 	}
 	q.countRequest()
@@ -104,7 +105,12 @@
 	return q.reservePermit()
 }
 
+// place waits until servers are assigned to the next attempt, unless they were before the last one ended.
 func (q *request) place() (dispatch.Plan, uint64, error) {
+	if next := q.next; next != nil {
+		q.next = nil
+		return next.plan, next.id, nil
+	}
 	w := q.newWork()
 	plan, err := q.h.Scheduler.Place(q.ctx, w)
 	return plan, w.ID, err
@@ -210,8 +216,7 @@
 	r := &upstream.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: q.h.HeaderCodec.Outgoing(q.r.Header, headers),
 		Body: q.body.Chunks(), NewConn: q.route.RetryMode == routing.AtMostOnce, Deadline: time.Now().Add(left),
-		HeaderTimeout: q.headerTimeout(),
-		Matches:       func(h http.Header, sole bool) bool { return q.h.HeaderCodec.Matches(h, q.ID, sole) },
+		Matches: func(h http.Header, sole bool) bool { return q.h.HeaderCodec.Matches(h, q.ID, sole) },
 		Observe: func(status int, h http.Header) bool {
 			return q.h.Scheduler.RecordNotice(plan.Lead.Process(), q.h.HeaderCodec.Notice(status, h))
 		},
@@ -233,15 +238,6 @@
 	return true
 }
 
-// headerTimeout bounds the wait for the response header if the request is idempotent and can still be retried; 0 means
-// no bound but the deadline.
-func (q *request) headerTimeout() time.Duration {
-	if q.route.RetryMode != routing.Idempotent || q.sendCount+1 >= q.route.Attempts {
-		return 0
-	}
-	return time.Duration(float64(q.remaining()) * attemptTimeoutShare)
-}
-
 // handleSendError handles an attempt without a response header.
 func (q *request) handleSendError(detector *stallDetector, plan dispatch.Plan, id uint64, err error) outcome {
 	q.h.Scheduler.RecordCancellation(id)
@@ -314,7 +310,7 @@
 		return q.failStream(plan, id, dispatch.FaultErrored, "server failed the continued stream"), nil
 	}
 	q.h.CrashTracker.RecordAnswer(q.traits, q.sinceSent())
-	return q.handleBuffered(plan, id, resp)
+	return q.handleBuffered(detector, plan, id, resp)
 }
 
 // handleNotRun handles the response of a server that did not run the request.
--- a/internal/forward/buffers_full_test.go
+++ b/internal/forward/buffers_full_test.go
@@ -38,7 +38,7 @@
 	_, err = q.readAnswer(strings.NewReader(event))
 	require.ErrorIs(t, err, errBuffersFull)
 	require.Equal(t, reserved, q.bufferedBytes, "an answer that was given up is still counted")
-	q.failAnswer(dispatch.Plan{}, err)
+	q.failAnswer(&stallDetector{ctx: t.Context()}, dispatch.Plan{}, err)
 	require.Zero(t, scheduler.failures)
 	require.Equal(t, errBuffersFull.Error(), q.reason)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -105,7 +105,9 @@
 	arrivals  int
 	lastFault dispatch.Fault
 	// permit is the place of the next attempt in the retry budget; nil for the first one.
-	permit          *retrybudget.Permit
+	permit *retrybudget.Permit
+	// next holds the servers of the next attempt if they were assigned before the last one ended.
+	next            *placedAttempt
 	excludedServers []string
 	// excludedNeighbours are the names of neighbours that declined or failed the request; neighbour is the one that has it now.
 	excludedNeighbours []string
@@ -139,6 +141,7 @@
 	}
 	defer func() { q.body.Release() }()
 	defer q.releasePermit()
+	defer q.releaseNext()
 	q.limitIO()
 	if !q.admit() {
 		return
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -180,7 +180,7 @@
 	body, err := q.readAnswer(resp)
 	if err != nil || !resp.Complete() {
 		q.releaseBuffer(q.bufferedBytes - reserved)
-		q.failAnswer(plan, err)
+		q.failAnswer(detector, plan, err)
 		return outcomeRetry, nil
 	}
 	if !a.Accepted {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -128,6 +128,8 @@
 	CountRequest(service string)
 	// Reserve returns a permit to send a request once more, or nil if the budget is used up.
 	Reserve(service string) *retrybudget.Permit
+	// ReserveHeld is Reserve for a request whose running attempt is ended for the next one: the permit stays good while that is prepared.
+	ReserveHeld(service string) *retrybudget.Permit
 	// Usage returns the state of the budget, for the log.
 	Usage(service string) retrybudget.Usage
 }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -25,6 +25,9 @@
 	windowSlots = 10
 	// creditLifetimes is the length of a window in lifetimes of a credit.
 	creditLifetimes = 10
+	// holdsPerWindow is the length of a window in times for which a held permit is good. Together with the lifetime of its credit that is within
+	// the half window before a window whose requests count too.
+	holdsPerWindow = 4
 	// boundShare is the share of the bound that is used. The rest covers credits earned just before a window, and retries that reach the
 	// servers in another window than the one they were counted in.
 	boundShare = 0.85
@@ -121,6 +124,8 @@
 	earnedAt  core.Micros
 	allowance bool
 	ended     bool
+	// heldUntil is until when the place is good whatever has become of the budget; 0 if it is not held.
+	heldUntil core.Micros
 }
 
 // Reserve returns a permit for one retry to a service, or nil if the budget is exhausted.
@@ -130,6 +135,18 @@
 	return b.reserve(service)
 }
 
+// ReserveHeld returns a permit whose place is good for holdTime, also if its credit lapses or the share of the allowance becomes smaller
+// meanwhile: an attempt that runs may be ended only for one that can be sent. It returns nil if the budget is exhausted.
+func (b *Budget) ReserveHeld(service string) *Permit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.reserve(service)
+	if p != nil {
+		p.heldUntil = b.now() + b.limits.Window/holdsPerWindow
+	}
+	return p
+}
+
 func (b *Budget) reserve(service string) *Permit {
 	c := b.currentCounts(service)
 	p := &Permit{budget: b, service: service, counts: c}
@@ -153,18 +170,26 @@
 	if !p.end() {
 		return false
 	}
-	if !p.allowance && p.budget.now()-p.earnedAt <= p.budget.creditLifetime() {
+	held := p.budget.now() <= p.heldUntil
+	if !p.allowance && (held || p.budget.now()-p.earnedAt <= p.budget.creditLifetime()) {
+		return true
+	}
+	if p.allowance && held {
+		p.counts.countUsed()
 		return true
 	}
 	// The place is taken anew: a credit may have lapsed, or the share of the allowance become smaller.
 	if next := p.budget.reserve(p.service); next == nil || !next.end() {
 		return false
 	} else if next.allowance {
-		next.counts.used[next.counts.slot%(windowSlots+1)]++
+		next.counts.countUsed()
 	}
 	return true
 }
 
+// countUsed counts a retry of the allowance in the newest slot.
+func (c *counts) countUsed() { c.used[c.slot%(windowSlots+1)]++ }
+
 // Release ends a permit whose retry is not sent. It does nothing if the permit has ended.
 func (p *Permit) Release() {
 	p.budget.mu.Lock()
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -34,7 +34,11 @@
 				continue
 			}
 			for range 5 {
-				if p := b.Reserve("s"); p != nil {
+				reserve := b.Reserve
+				if rapid.Bool().Draw(t, "held") {
+					reserve = b.ReserveHeld
+				}
+				if p := reserve("s"); p != nil {
 					waiting = append(waiting, p)
 				}
 			}
@@ -205,3 +209,29 @@
 	require.False(t, late.Spend())
 	require.Equal(t, Usage{Age: now}, b.Usage("s"))
 }
+
+// Guards against an attempt that was ended for a better one which can't be sent any more, since its credit has lapsed or the daemon's share of the
+// allowance has become smaller; and against a place that is held for ever.
+func TestHeldPermitStaysGood(t *testing.T) {
+	limits := Limits{Ratio: 1, Allowance: 10, Window: 10 * core.Second}
+	hold := limits.Window / holdsPerWindow
+	for _, after := range []core.Micros{0, hold, hold + 1} {
+		now := core.Micros(0)
+		b := New(limits, func() core.Micros { return now })
+		b.SetDaemons(1)
+		b.CountRequest("credit")
+		b.CountRequest("credit")
+		credit, lapsing := b.ReserveHeld("credit"), b.Reserve("credit")
+		require.NotNil(t, credit)
+		require.Nil(t, lapsing, "two requests earn one credit")
+		now += after
+		require.Equal(t, after <= hold, credit.Spend(), "credit after %v", after)
+
+		now = limits.Window + settleTime
+		allowance := b.ReserveHeld("allowance")
+		b.SetDaemons(100)
+		now += after
+		require.Equal(t, after <= hold, allowance.Spend(), "allowance after %v", after)
+		require.Nil(t, b.ReserveHeld("allowance"))
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -27,10 +26,6 @@
 	idleUntil time.Time
 	// used is set once an exchange has ended on the connection.
 	used bool
-
-	mu        sync.Mutex
-	cancelled bool
-	deadline  time.Time
 }
 
 func newConn(raw net.Conn, p *Pool, t Target) *conn {
@@ -145,35 +140,14 @@
 
 // beginRequest starts a request whose I/O fails after the deadline.
 func (c *conn) beginRequest(deadline time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cancelled, c.deadline = false, deadline
 	_ = c.SetDeadline(deadline) // fails only on a closed connection, which the next I/O reports
 }
 
 // cancel makes pending and further I/O of the request fail immediately.
 func (c *conn) cancel() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cancelled = true
 	_ = c.SetDeadline(time.Unix(1, 0)) // as above
 }
 
-// setReadTimeout makes reads fail after the timeout or at the deadline of the request, whichever is earlier; 0 means the
-// deadline only.
-func (c *conn) setReadTimeout(timeout time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cancelled {
-		return
-	}
-	deadline := c.deadline
-	if timeout > 0 && c.pool.now().Add(timeout).Before(deadline) {
-		deadline = c.pool.now().Add(timeout)
-	}
-	_ = c.SetReadDeadline(deadline) // as above
-}
-
 // keepAliveTimeout returns how long the connection may be reused after the response, or 0 if the server closes it.
 func keepAliveTimeout(resp *http.Response) time.Duration {
 	if resp.Close || resp.ProtoMajor != 1 || resp.ProtoMinor < 1 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -58,9 +58,6 @@
 	NewConn bool
 	// Deadline is when all I/O of the request fails, including reads of the response body.
 	Deadline time.Time
-	// HeaderTimeout bounds the wait for the response header; 0 means that only Deadline applies. The read deadline that it
-	// sets is not extended for the body.
-	HeaderTimeout time.Duration
 	// Matches reports whether a response header belongs to this request; nil accepts every response. A server may send a
 	// late response to an earlier request, or repeat one. sole is set if nothing else was sent or received on the
 	// connection, so that the response cannot belong to another request.
@@ -144,7 +141,6 @@
 			resp.upload.finish(err)
 		}()
 	}
-	c.setReadTimeout(r.HeaderTimeout)
 	if err := resp.readHeader(out, r); err != nil {
 		resp.abort()
 		return nil, errors.Mark(err, ErrUnknown)
