--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -60,6 +60,8 @@
 	mu     sync.Mutex
 	server *standin.Server
 	starts int
+	// entry is what the server last wrote to the store.
+	entry any
 }
 
 func (b *backend) current() *standin.Server {
@@ -97,11 +99,14 @@
 	version int
 	routes  map[string]standin.Route
 	keys    map[string]string
+	// evacuated holds the failure domains that have been evacuated, and whether they are.
+	evacuated map[string]bool
 }
 
 func newCluster(s Schedule, program, dir string, onRun func(standin.Run), onArrival func(id string)) (*cluster, error) {
 	c := &cluster{
 		hardLoad: s.HardLoad, engines: s.Engines, store: standin.NewStore(), onRun: onRun, onArrival: onArrival, routes: map[string]standin.Route{}, keys: map[string]string{baseKey: workspace},
+		evacuated: map[string]bool{},
 	}
 	for _, k := range requestKinds {
 		if len(s.Kinds) == 0 || slices.Contains(s.Kinds, k.name) {
@@ -179,7 +184,7 @@
 	server.Text = func(run standin.Run, event int) string { return answerText(run.ID, string(run.Body), event) }
 	b.server = server
 	b.link.setTarget(server.Address())
-	c.putServerEntry(b, server, standin.StateReady, cold)
+	c.putEntry(b, server, standin.StateReady, cold)
 	return nil
 }
 
@@ -189,8 +194,16 @@
 
 // putServerEntry writes the entry of a server with the given state and remaining cold time to the store.
 func (c *cluster) putServerEntry(b *backend, s *standin.Server, state string, cold time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.putEntry(b, s, state, cold)
+}
+
+// putEntry is putServerEntry for callers that hold the lock of the backend.
+func (c *cluster) putEntry(b *backend, s *standin.Server, state string, cold time.Duration) {
 	entry := standin.ServerEntry(b.service, b.link.address(), b.domain, b.slots, state)
-	c.store.Put(standin.KindServers, s.ID, standin.ColdServerEntry(entry, cold))
+	b.entry = standin.ColdServerEntry(entry, cold)
+	c.store.Put(standin.KindServers, s.ID, b.entry)
 }
 
 // updateConfig applies a change to the routes or keys and writes the next version of the configuration.
@@ -199,6 +212,11 @@
 	defer c.mu.Unlock()
 	change()
 	c.version++
+	c.writeConfig()
+}
+
+// writeConfig writes the present version of the configuration. The caller holds mu.
+func (c *cluster) writeConfig() {
 	routes := make([]standin.Route, 0, len(c.routes))
 	for _, r := range c.routes {
 		routes = append(routes, r)
--- a/internal/soak/hardload.go
+++ b/internal/soak/hardload.go
@@ -145,7 +145,7 @@
 		domains = append(domains, domainOf(f.Target+1, true))
 	}
 	for _, domain := range domains {
-		inj.cluster.store.Put(standin.KindEvacuations, domain, struct{}{})
+		inj.cluster.setEvacuated(domain, true)
 		inj.checker.setEvacuated(domain, true)
 	}
 	time.Sleep(milliseconds(f.ForMs))
@@ -156,7 +156,7 @@
 				inj.becomeCold(i, b)
 			}
 		}
-		inj.cluster.store.Delete(standin.KindEvacuations, domain)
+		inj.cluster.setEvacuated(domain, false)
 	}
 }
 
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -116,6 +116,9 @@
 		inj.cluster.store.SetOutage(storeOutages[f.Variant])
 		time.Sleep(milliseconds(f.ForMs))
 		inj.cluster.store.SetOutage(standin.Serving)
+	case StoreRestored:
+		defer inj.lock(lockStore, 0)()
+		inj.restoreStore(f)
 	case StoreCompact:
 		inj.cluster.store.Compact()
 	case ServerFault:
@@ -186,7 +189,7 @@
 		if b.current() != s {
 			return // another fault has replaced it
 		}
-		inj.cluster.store.Delete(standin.KindServers, s.ID)
+		inj.cluster.removeServerEntry(b, s)
 		if err := inj.cluster.startServer(b, number, 0); err != nil {
 			inj.checker.reportViolation("PROCESS", "", "server %d did not start: %v", number, err)
 		}
@@ -281,7 +284,7 @@
 		away, cold = crashedServerRestart, away
 	}
 	time.Sleep(away)
-	inj.cluster.store.Delete(standin.KindServers, old.ID)
+	inj.cluster.removeServerEntry(b, old)
 	if err := inj.cluster.startServer(b, i, cold); err != nil {
 		inj.checker.reportViolation("PROCESS", "", "server %d did not start: %v", i, err)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -23,8 +23,9 @@
 	DaemonStore   Kind = "daemon-store"   // the link to the store
 	DaemonCallers Kind = "daemon-callers" // the link to callers
 	StoreOutage   Kind = "store-outage"
-	StoreCompact  Kind = "store-compact" // the store compacts its history
-	ServerFault   Kind = "server-fault"  // the server misbehaves as the variant says
+	StoreCompact  Kind = "store-compact"  // the store compacts its history
+	StoreRestored Kind = "store-restored" // the store is away for ForMs and returns from a copy that is some seconds old
+	ServerFault   Kind = "server-fault"   // the server misbehaves as the variant says
 	ServerLink    Kind = "server-link"
 	ServerCrash   Kind = "server-crash" // a successor with another id starts after ForMs
 	ServerDrain   Kind = "server-drain" // planned replacement: drains, then a successor starts
@@ -112,6 +113,7 @@
 	{DaemonCallers, 2, allLinkNames, 3_000},
 	{StoreOutage, 3, outageNames, 6_000},
 	{StoreCompact, 1, nil, 0},
+	{StoreRestored, 2, nil, 1_500},
 	{ServerFault, 4, serverFaultNames, 5_000},
 	{ServerLink, 3, allLinkNames, 5_000},
 	{ServerCrash, 3, nil, 3_000},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -169,6 +170,36 @@
 	}
 }
 
+// Guards against changes that a restored store confirms and that are not in force, or come back older: routes, keys and leaving servers after one
+// restore and after two in a row, beside daemons that are killed, frozen, stopped or cut off meanwhile. Each daemon watches the store itself
+// or takes configurations from its neighbours.
+func TestStoreRestored(t *testing.T) {
+	t.Parallel()
+	for _, hard := range []bool{false, true} {
+		s := Schedule{Seed: 16, Daemons: 5, Engines: 6, Plain: 4, Callers: 30, FaultsMs: 38_000, HardLoad: hard}
+		for i, at := range []int{0, 18_000, 24_500} {
+			s.Faults = append(s.Faults, Fault{AtMs: at, Kind: StoreRestored, ForMs: 400 + 300*i})
+		}
+		for _, at := range []int{9_500, 34_500} {
+			s.Faults = append(s.Faults,
+				Fault{AtMs: at, Kind: ConfigRoute, ForMs: 6_000}, Fault{AtMs: at + 200, Kind: ConfigKey, ForMs: 6_000},
+				Fault{AtMs: at + 400, Kind: ServerDrain, Target: at % 10, ForMs: 200},
+			)
+		}
+		s.Faults = append(s.Faults,
+			Fault{AtMs: 18_500, Kind: ConfigRoute, ForMs: 4_000}, Fault{AtMs: 18_600, Kind: ConfigKey, ForMs: 1_000},
+			Fault{AtMs: 22_000, Kind: DaemonKill, Target: 0, ForMs: 1_500}, Fault{AtMs: 22_200, Kind: DaemonFreeze, Target: 1, ForMs: 3_000},
+			Fault{AtMs: 23_000, Kind: DaemonStore, Target: 2, Variant: string(LinkSilent), ForMs: 4_000},
+			Fault{AtMs: 26_000, Kind: DaemonStop, Target: 3, ForMs: 200},
+		)
+		slices.SortStableFunc(s.Faults, func(a, b Fault) int { return a.AtMs - b.AtMs })
+		t.Run(map[bool]string{false: "each watches", true: "neighbours"}[hard], func(t *testing.T) {
+			t.Parallel()
+			requireNoViolations(t, s)
+		})
+	}
+}
+
 // Guards against requests with a deadly part that keep crashing engines, and against limits of servers that the daemons together
 // exceed, while daemons are killed and stopped and the store is away.
 func TestDeadlyPartAndLimits(t *testing.T) {
