--- a/cmd/carobsoak/main.go
+++ b/cmd/carobsoak/main.go
@@ -21,6 +21,7 @@
 
 type options struct {
 	Program string `long:"program" value-name:"FILE" required:"true" description:"path of the carobedge binary"`
+	Next    string `long:"next" value-name:"FILE" description:"path of the carobedge binary after a daemon-upgrade; default: that of --program"`
 	Seed    uint64 `long:"seed" default:"1" description:"first seed"`
 	Seeds   uint64 `long:"seeds" default:"1" description:"number of consecutive seeds to run, one after the other"`
 	Daemons int    `long:"daemons" default:"6" description:"number of carobedge processes"`
@@ -131,7 +132,7 @@
 	}
 	defer logFile.Close()
 	result, err := soak.Run(ctx, s, soak.Options{
-		Program: o.Program, Dir: dir, Log: slog.New(slog.NewTextHandler(logFile, nil)),
+		Program: o.Program, Next: o.Next, Dir: dir, Log: slog.New(slog.NewTextHandler(logFile, nil)),
 	})
 	if err != nil {
 		return result, err
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -41,8 +41,10 @@
 type injector struct {
 	cluster *cluster
 	checker *checker
-	log     *slog.Logger
-	active  sync.WaitGroup
+	// next is the program of daemons after an upgrade.
+	next   string
+	log    *slog.Logger
+	active sync.WaitGroup
 	// locks serialise faults of one kind on one target, so that one does not undo the other.
 	locks [lockCount]sync.Map
 }
@@ -97,7 +99,7 @@
 	d := f.Target % len(inj.cluster.daemons)
 	b := f.Target % len(inj.cluster.backends)
 	switch f.Kind {
-	case DaemonKill, DaemonFreeze, DaemonStop, DaemonReload:
+	case DaemonKill, DaemonFreeze, DaemonStop, DaemonReload, DaemonUpgrade:
 		defer inj.lock(lockProcess, d)()
 		inj.injectProcessFault(d, f)
 	case DaemonsLost:
@@ -215,9 +217,12 @@
 		time.Sleep(milliseconds(f.ForMs))
 		p.signal(syscall.SIGCONT, false)
 		return
-	case DaemonStop:
+	case DaemonStop, DaemonUpgrade:
 		defer inj.checker.beginDisturbance(scopeStopping(i))()
 		inj.stopDaemon(i)
+		if f.Kind == DaemonUpgrade {
+			p.program = inj.next
+		}
 		time.Sleep(milliseconds(f.ForMs))
 	default:
 		// Before its first instruction a process cannot catch SIGHUP and has no settings to reload.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -19,6 +19,7 @@
 	DaemonFreeze  Kind = "daemon-freeze"  // SIGSTOP, SIGCONT after ForMs
 	DaemonStop    Kind = "daemon-stop"    // SIGTERM, restart ForMs after the exit
 	DaemonReload  Kind = "daemon-reload"  // SIGHUP
+	DaemonUpgrade Kind = "daemon-upgrade" // SIGTERM, start of the next program (Options.Next) ForMs after the exit
 	DaemonsLost   Kind = "daemons-lost"   // SIGKILL or SIGSTOP of several daemons at once; a server starts to drain 20 ms later
 	DaemonStore   Kind = "daemon-store"   // the link to the store
 	DaemonCallers Kind = "daemon-callers" // the link to callers
@@ -108,6 +109,7 @@
 	{DaemonFreeze, 3, nil, 5_000},
 	{DaemonStop, 3, nil, 1_000},
 	{DaemonReload, 1, nil, 0},
+	{DaemonUpgrade, 0, nil, 1_000},
 	{DaemonsLost, 2, []string{lostKilled, lostFrozen}, 5_000},
 	{DaemonStore, 3, allLinkNames, 8_000},
 	{DaemonCallers, 2, allLinkNames, 3_000},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -35,7 +36,9 @@
 type Options struct {
 	// Program is the path of the carobedge binary; Dir is the directory for settings and logs.
 	Program, Dir string
-	Log          *slog.Logger
+	// Next is the path of the binary that daemons run after a DaemonUpgrade; "" for Program.
+	Next string
+	Log  *slog.Logger
 }
 
 // Run executes a schedule. It returns an error if the run could not be executed; violations are part of the result.
@@ -52,7 +55,7 @@
 	if err := c.waitReady(); err != nil {
 		return Result{}, err
 	}
-	peak := runSchedule(ctx, s, c, checker, o.Log)
+	peak := runSchedule(ctx, s, c, checker, cmp.Or(o.Next, o.Program), o.Log)
 	checker.mu.Lock()
 	defer checker.mu.Unlock()
 	return Result{
@@ -74,7 +77,7 @@
 }
 
 // runSchedule runs the callers, the faults and the recovery check, and returns the peak memory of any daemon in MB.
-func runSchedule(ctx context.Context, s Schedule, c *cluster, checker *checker, log *slog.Logger) int {
+func runSchedule(ctx context.Context, s Schedule, c *cluster, checker *checker, next string, log *slog.Logger) int {
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	monitoring, stopMonitoring := context.WithCancel(ctx)
@@ -86,7 +89,7 @@
 	}
 	peak := 0
 	monitor.Go(func() { peak = monitorProcesses(monitoring, c, checker) })
-	inj := &injector{cluster: c, checker: checker, log: log}
+	inj := &injector{cluster: c, checker: checker, next: next, log: log}
 	onCrash := inj.restartCrashed
 	c.onCrash.Store(&onCrash)
 	inj.run(ctx, s.Faults)
