directory: a list that names no era is asked for again with a pause

A daemon that starts while the store's answers lack a valid era, and has heard of one from a neighbour, listed each kind without a pause: its copy stayed older than the latest era. Such a copy is used for want of a better one and confirms nothing.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -389,6 +389,9 @@
 		}
 		return image, true
 	})
+	if latest, _ := f.options.Eras.Latest(); image.Era < latest {
+		return f.rejectAnswer("list", Version{Era: latest}, listed) // used for want of a better one, and soon asked for again
+	}
 	f.recordAnswer(image.Era, asked)
 	if !f.confirmsAnswers() {
 		return nil
--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -170,3 +170,17 @@
 	image, _ := f.Image()
 	require.Equal(t, Version{Era: 3, Revision: 6}, image.position())
 }
+
+// Guards against a daemon that starts while the store's answers name no era, and asks again without a pause as it has heard of one.
+func TestListWithoutAnEraIsAskedForWithPauses(t *testing.T) {
+	source := &answers{image: imageOf(9, object("a", 9))}
+	f := newRestoreFollower(source)
+	f.options.Eras.Meet(2, "neighbour")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	f.Run(ctx)
+	require.LessOrEqual(t, source.lists, 1+10)
+	image, known := f.Image()
+	require.True(t, known)
+	require.Equal(t, source.image, image)
+}
