forward, edge: logs and metrics name the requests that a stop cuts off

Callers lost requests at the end of a stop, and the only line was "open requests cut off open=1"; the line of the request itself said that its caller had left, which it had not. The connections of callers are counted at both ends of a stop, so that an answer that is not written to its end shows. carobctl timeline says it in its sentence. No decision changes. TestRequestCutOffByStopIsLoggedAsSuch passes, tests of platform, forward, edge, timeline and ctl too.

--- a/internal/bodybudget/connections.go
+++ b/internal/bodybudget/connections.go
@@ -197,6 +197,34 @@
 	}
 }
 
+// Connections counts the open connections by what happens on them.
+type Connections struct {
+	// Exchanging have a request that has been read, and whose answer is not written to its end. Arriving have a part of a request's header.
+	Exchanging, Arriving int
+	// New have sent nothing yet, Idle nothing since their last answer.
+	New, Idle int
+}
+
+// Connections returns the open connections.
+func (l *Listener) Connections() Connections {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out Connections
+	for _, s := range l.conns {
+		switch {
+		case !s.awaitsRequest():
+			out.Exchanging++
+		case s.headers > 0:
+			out.Arriving++
+		case s.state == http.StateNew:
+			out.New++
+		default:
+			out.Idle++
+		}
+	}
+	return out
+}
+
 // replace sets the state of a connection and counts its headers. The caller holds mu.
 func (l *Listener) replace(c *connection, s connectionState) {
 	change := s.countedHeaders() - l.conns[c].countedHeaders()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -12,6 +12,7 @@
 	"github.com/carobstile/carobstile/gen/carobstile/v1/carobstilev1connect"
 	"github.com/carobstile/carobstile/internal/app"
 	"github.com/carobstile/carobstile/internal/bodybudget"
+	"github.com/carobstile/carobstile/internal/core"
 )
 
 const (
@@ -44,7 +45,7 @@
 		Handler: d.handler, ConnState: limited.ConnState, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout + idleMargin,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 	}
-	env.Group.Add(func() error { return d.serveCallers(callers, limited) }, func(error) { d.stop(callers) })
+	env.Group.Add(func() error { return d.serveCallers(callers, limited) }, func(error) { d.stop(callers, limited) })
 	path, handler := carobstilev1connect.NewEdgeServiceHandler(peerService{d})
 	peers := http.NewServeMux()
 	peers.Handle(path, handler)
@@ -114,11 +115,12 @@
 // stop performs a planned stop. The readiness check fails, so that callers go elsewhere, and the neighbours are
 // notified. Requests are still accepted for drainAcceptPeriod; after that, stop waits for open ones until exitReserve
 // before the end of the grace period and cuts off the rest.
-func (d *Daemon) stop(server *http.Server) {
+func (d *Daemon) stop(server *http.Server, connections *bodybudget.Listener) {
 	defer close(d.drained)
-	stopStart := time.Now()
+	stopStart, began := time.Now(), d.now()
 	d.draining.Store(true)
-	d.log.Info("stopping", "open", d.handler.OpenRequests())
+	d.log.Info("stopping", "open", d.handler.OpenRequests(), "grace_ms", d.latestSettings.Load().stopGrace().Milliseconds())
+	d.logConnections("connections of callers when the stop began", connections, began)
 	d.link.Leave()
 	entryRemoved := make(chan struct{})
 	go func() {
@@ -132,13 +134,19 @@
 	for d.handler.OpenRequests() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	if open := d.handler.OpenRequests(); open > 0 {
-		d.log.Warn("open requests cut off", "open", open)
-	}
 	select {
 	case <-entryRemoved:
 	case <-time.After(time.Until(deadline)):
 		d.log.Warn("own entry is not removed: the store has not answered")
 	}
+	d.handler.CutOff(began)
+	d.logConnections("connections of callers closed by the stop", connections, began)
 	_ = server.Close() // open requests are cut off on purpose
 }
+
+// logConnections logs what happens on the connections of callers; stopping is when the stop began.
+func (d *Daemon) logConnections(message string, connections *bodybudget.Listener, stopping core.Micros) {
+	c := connections.Connections()
+	d.log.Info(message, "exchanging", c.Exchanging, "arriving", c.Arriving, "new", c.New, "idle", c.Idle,
+		"open", d.handler.OpenRequests(), "stopping_ms", (d.now()-stopping)/core.Millisecond)
+}
--- a/internal/evlog/evlog.go
+++ b/internal/evlog/evlog.go
@@ -22,6 +22,7 @@
 	MessagePlaced = "request placed"
 	MessageFailed = "server failed a request"
 	MessageEnded  = "request ended"
+	MessageCutOff = "request cut off by the stop"
 )
 
 // New returns a logger that writes key=value lines to w. Attributes whose key names a secret are redacted.
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -124,12 +124,13 @@
 		q.reject(http.StatusBadGateway, fmt.Sprintf("server answered %d and did not say that the request was not run", answer.status))
 		return
 	}
+	q.progress.enter(stageAnswer, q.lastServer)
 	copyHeader(q.w.Header(), answer.header)
 	q.sayRelaySends()
 	q.w.WriteHeader(answer.status)
 	for _, chunk := range answer.body {
 		if _, err := q.w.Write(chunk); err != nil {
-			q.reason = "caller left"
+			q.reason = q.reasonUnwritten()
 			break
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,6 +112,9 @@
 		return next.plan, next.id, nil
 	}
 	w := q.newWork()
+	if !q.headerSent {
+		q.progress.enter(stageWaiting, "")
+	}
 	plan, err := q.h.Scheduler.Place(q.ctx, w)
 	return plan, w.ID, err
 }
@@ -165,7 +168,7 @@
 
 // attempt sends the request once to the servers of a plan.
 func (q *request) attempt(plan dispatch.Plan, id uint64) (outcome, *bufferedAnswer) {
-	q.lastServer = plan.Lead.ID
+	q.enterAttempt(plan.Lead.ID)
 	q.placements = append(q.placements, placement{at: q.h.Now(), plan: plan})
 	helpers, release, err := q.reserve(plan, id)
 	if err != nil {
@@ -185,6 +188,14 @@
 	return q.handleResponse(detector, plan, id, resp)
 }
 
+// enterAttempt records that servers, or a neighbour, were assigned to the request.
+func (q *request) enterAttempt(server string) {
+	q.lastServer = server
+	if !q.headerSent {
+		q.progress.enter(stageAttempt, server)
+	}
+}
+
 func (q *request) reserve(plan dispatch.Plan, id uint64) ([]Helper, func(), error) {
 	reservations := map[string]string{}
 	release := func() {}
@@ -368,13 +379,17 @@
 // failUnanswered answers a request that got no answer before its deadline or within its attempts. If the caller has
 // left, it only records the end and aborts the handler.
 func (q *request) failUnanswered() {
-	callerLeft := q.r.Context().Err() != nil
+	callerLeft := q.r.Context().Err() != nil && !q.h.cutOff.Load()
 	timedOut := errors.Is(q.ctx.Err(), context.DeadlineExceeded)
 	switch {
 	case callerLeft:
 		q.reason = "caller left"
 		q.recordEnd(0)
 		panic(http.ErrAbortHandler)
+	case q.r.Context().Err() != nil:
+		q.reason = reasonStopped
+		q.recordEnd(0)
+		panic(http.ErrAbortHandler)
 	case q.headerSent:
 		q.abortAnswer()
 	case q.serverError != nil:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -65,8 +65,10 @@
 	Log     *slog.Logger
 	Metrics *Metrics
 
-	draining     atomic.Bool
-	openRequests atomic.Int64
+	draining atomic.Bool
+	// cutOff is set once the stop of the daemon ends the requests in progress.
+	cutOff atomic.Bool
+	open   openRequests
 	// bufferedBytes counts the memory of the answers and large events that are being buffered.
 	bufferedBytes atomic.Int64
 	logSampler    logRateLimiter
@@ -78,7 +80,7 @@
 func (h *Handler) Drain() { h.draining.Store(true) }
 
 // OpenRequests returns the number of requests in progress.
-func (h *Handler) OpenRequests() int64 { return h.openRequests.Load() }
+func (h *Handler) OpenRequests() int64 { return h.open.count() }
 
 // request is the state of one caller's request.
 type request struct {
@@ -126,6 +128,7 @@
 	headerSent  bool // the response header was sent to the caller
 	// bufferedBytes is this request's part of the handler's bufferedBytes.
 	bufferedBytes int64
+	progress      progress
 }
 
 // ServeHTTP serves one request of a caller.
@@ -133,9 +136,9 @@
 
 // serve serves one request, which another daemon has passed on unless from is nil.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from *relayed) {
-	h.openRequests.Add(1)
-	defer h.openRequests.Add(-1)
 	q := &request{h: h, w: w, r: r, CallerHeaders: h.HeaderCodec.Call(r.Header), arrived: h.Now(), relayed: from}
+	h.open.add(q)
+	defer h.open.remove(q)
 	if from != nil {
 		q.counted, q.sendCount = from.counted, from.sends
 	}
@@ -271,6 +274,7 @@
 	}
 	q.deadline = q.arrived + core.FromDuration(timeout)
 	q.timeoutAt = time.Now().Add(timeout - (q.h.Now() - q.arrived).Duration())
+	q.progress.setDeadline(q.deadline)
 }
 
 // remaining returns the time until the deadline.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -133,4 +133,9 @@
 // recordRelay counts a request that is passed on to a neighbour.
 func (m *Metrics) recordRelay() { m.scope.Counter("requests_passed_on").Inc(1) }
 
+// recordCutOff counts a request that the stop of the daemon has cut off at a stage.
+func (m *Metrics) recordCutOff(at stage) {
+	m.scope.Tagged(map[string]string{"stage": at.String()}).Counter("requests_cut_off").Inc(1)
+}
+
 func (m *Metrics) recordNotLogged() { m.notLogged.Inc(1) }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -111,7 +111,7 @@
 	q.neighbour = &n
 	defer func() { q.neighbour = nil }()
 	plan := dispatch.Plan{Lead: dispatch.Server{ID: n.Name, Domain: n.Domain}}
-	q.lastServer = n.Name
+	q.enterAttempt(n.Name)
 	q.placements = append(q.placements, placement{at: q.h.Now(), plan: plan})
 	q.h.Metrics.recordRelay()
 	q.h.Log.Debug("request passed on", evlog.KeyRequest, q.ID, "neighbour", n.Name)
--- a/internal/forward/shortfall.go
+++ b/internal/forward/shortfall.go
@@ -13,6 +13,7 @@
 	shortfallServerFailed = "server_failed" // a server failed it, or the answer broke off
 	shortfallTimedOut     = "timed_out"     // no answer before its deadline
 	shortfallCallerLeft   = "caller_left"
+	shortfallStopped      = "stopped"      // cut off by the stop of the daemon
 	shortfallResumed      = "resumed"      // late because it was sent to more than one server
 	shortfallWaited       = "waited"       // late because it waited for servers
 	shortfallPlacedLate   = "placed_late"  // late as predicted: no servers were faster
@@ -32,6 +33,8 @@
 		return q.lateness()
 	}
 	switch {
+	case q.r != nil && q.r.Context().Err() != nil && q.h.cutOff.Load():
+		return shortfallStopped
 	case q.r != nil && q.r.Context().Err() != nil:
 		return shortfallCallerLeft
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -77,7 +77,7 @@
 		ok, err := q.writeEvent(event, resp)
 		if err != nil {
 			q.h.Scheduler.RecordCancellation(id)
-			q.reason = "caller left"
+			q.reason = q.reasonUnwritten()
 			return outcomeAborted
 		}
 		if !ok {
@@ -85,7 +85,7 @@
 		}
 		if reader.Buffered() == 0 && !q.flush() {
 			q.h.Scheduler.RecordCancellation(id)
-			q.reason = "caller left"
+			q.reason = q.reasonUnwritten()
 			return outcomeAborted
 		}
 	}
@@ -224,6 +224,7 @@
 		return
 	}
 	q.headerSent = true
+	q.progress.enter(stageAnswer, q.lastServer)
 	q.stream.mediaType = mediaType(resp)
 	copyHeader(q.w.Header(), resp.Header)
 	q.sayRelaySends()
@@ -260,7 +261,7 @@
 		q.h.Scheduler.RecordFinish(id)
 		q.writeStreamHeader(resp)
 		if _, err := q.w.Write(rest); err != nil {
-			q.reason = "caller left"
+			q.reason = q.reasonUnwritten()
 		}
 		q.recordEnd(resp.Status)
 		return outcomeDone
@@ -268,7 +269,7 @@
 	if q.ctx.Err() != nil {
 		q.h.Scheduler.RecordCancellation(id)
 		if q.headerSent {
-			q.reason = "caller left or time is up"
+			q.reason = q.reasonOfEnd()
 			return outcomeAborted
 		}
 		return outcomeRetry
--- a/internal/timeline/explain.go
+++ b/internal/timeline/explain.go
@@ -10,6 +10,7 @@
 // Explanation collects the events that explain how one request ended.
 type Explanation struct {
 	ended     *Event
+	cutOff    *Event
 	failed    []string
 	placed    []string
 	hasEvents bool
@@ -21,6 +22,8 @@
 	switch e.Message {
 	case evlog.MessageEnded:
 		x.ended = &e
+	case evlog.MessageCutOff:
+		x.cutOff = &e
 	case evlog.MessageFailed:
 		x.failed = append(x.failed, fmt.Sprintf("%s (%s)", attr(&e, "server"), attr(&e, "fault")))
 	case evlog.MessagePlaced:
@@ -48,6 +51,10 @@
 	if reason, ok := x.ended.Attr("reason"); ok && reason != "" {
 		parts = append(parts, "because "+reason)
 	}
+	if x.cutOff != nil {
+		parts = append(parts, fmt.Sprintf("cut off at stage %s, %s ms after the stop began, with %s ms left", attr(x.cutOff, "stage"), attr(x.cutOff, "stopping_ms"),
+			attr(x.cutOff, "left_ms")))
+	}
 	if len(x.placed) > 0 {
 		parts = append(parts, "placed on "+strings.Join(x.placed, ", "))
 	}
