--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -12,7 +12,6 @@
 	"github.com/carobstile/carobstile/gen/carobstile/v1/carobstilev1connect"
 	"github.com/carobstile/carobstile/internal/app"
 	"github.com/carobstile/carobstile/internal/bodybudget"
-	"github.com/carobstile/carobstile/internal/core"
 )
 
 const (
@@ -23,13 +22,6 @@
 	// idleMargin keeps connections open beyond the idle time, so that a request sent at its very end still finds its
 	// connection open.
 	idleMargin = 2 * time.Second
-	// drainAcceptPeriod is how long a stopping daemon still accepts requests. The platform sends callers elsewhere
-	// after two failed checks, which are one second apart.
-	drainAcceptPeriod = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for ending the process.
-	exitReserve = 300 * time.Millisecond
-	// drainPollInterval is how often a stopping daemon checks whether its requests have ended.
-	drainPollInterval = 50 * time.Millisecond
 )
 
 // serve opens the daemon's TCP addresses and adds their servers to the environment.
@@ -111,42 +103,3 @@
 	}
 	_, _ = io.WriteString(w, reason) // the platform ignores the body
 }
-
-// stop performs a planned stop. The readiness check fails, so that callers go elsewhere, and the neighbours are
-// notified. Requests are still accepted for drainAcceptPeriod; after that, stop waits for open ones until exitReserve
-// before the end of the grace period and cuts off the rest.
-func (d *Daemon) stop(server *http.Server, connections *bodybudget.Listener) {
-	defer close(d.drained)
-	stopStart, began := time.Now(), d.now()
-	d.draining.Store(true)
-	d.log.Info("stopping", "open", d.handler.OpenRequests(), "grace_ms", d.latestSettings.Load().stopGrace().Milliseconds())
-	d.logConnections("connections of callers when the stop began", connections, began)
-	d.link.Leave()
-	entryRemoved := make(chan struct{})
-	go func() {
-		defer close(entryRemoved)
-		d.removeOwnEntry()
-	}()
-	server.SetKeepAlivesEnabled(false)
-	time.Sleep(drainAcceptPeriod - time.Since(stopStart))
-	d.handler.Drain()
-	deadline := stopStart.Add(d.latestSettings.Load().stopGrace() - exitReserve)
-	for d.handler.OpenRequests() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-	}
-	select {
-	case <-entryRemoved:
-	case <-time.After(time.Until(deadline)):
-		d.log.Warn("own entry is not removed: the store has not answered")
-	}
-	d.handler.CutOff(began)
-	d.logConnections("connections of callers closed by the stop", connections, began)
-	_ = server.Close() // open requests are cut off on purpose
-}
-
-// logConnections logs what happens on the connections of callers; stopping is when the stop began.
-func (d *Daemon) logConnections(message string, connections *bodybudget.Listener, stopping core.Micros) {
-	c := connections.Connections()
-	d.log.Info(message, "exchanging", c.Exchanging, "arriving", c.Arriving, "new", c.New, "idle", c.Idle,
-		"open", d.handler.OpenRequests(), "stopping_ms", (d.now()-stopping)/core.Millisecond)
-}
