dispatch: a stopping daemon refuses what it cannot answer before its end

Callers of prompts that waited for engines when their daemon got SIGTERM lost them: the request stayed in the queue until the daemon closed its connection 7.7 s later, without an answer and with most of its time gone. Cause: the scheduler judged a wait by the caller's limits only. The end of the grace period, known from the SIGTERM on, was known to nobody who decides. drain.Plan now has the times of a stop, and dispatch.Stopping carries the cut-off to the scheduler.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -68,6 +68,8 @@
 	daemons, allDaemons int
 	// knownDaemons is the number of daemons of this cell including those that are away.
 	knownDaemons int
+	// cutOffAt is when the stop of this daemon ends its requests; 0 while it does not stop.
+	cutOffAt core.Micros
 	// seed distinguishes this daemon from others.
 	seed uint64
 	// ahead counts the waiting requests by service while they are evaluated.
@@ -120,6 +122,8 @@
 		c.serverAnswered(e)
 	case DaemonCountChanged:
 		c.daemons, c.allDaemons, c.knownDaemons = max(1, e.Count), e.Total, e.Known
+	case Stopping:
+		c.stopping(e)
 	case Tick:
 		c.timerAt = 0
 		c.refreshCold(e.Now)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -128,6 +128,10 @@
 		Now  core.Micros
 		Peer string
 	}
+	// Stopping reports that this daemon stops and ends its requests at CutOffAt.
+	Stopping struct {
+		Now, CutOffAt core.Micros
+	}
 	// DaemonCountChanged sets the number of daemons of this cell that were heard recently, that of all cells, and that of the known
 	// ones of this cell.
 	DaemonCountChanged struct {
@@ -160,6 +164,7 @@
 func (PeerJobs) event()           {}
 func (PeerRestarted) event()      {}
 func (Tick) event()               {}
+func (Stopping) event()           {}
 func (DaemonCountChanged) event() {}
 
 // Effect is an action that Core requests from its caller.
@@ -176,6 +181,8 @@
 		ID         uint64
 		RetryAfter core.Micros
 		Reason     string
+		// Elsewhere is set if only this daemon cannot serve the request.
+		Elsewhere bool `json:",omitempty"`
 	}
 	// Announce sends a new job to the peers, and if ToAll is set to the daemons of all cells.
 	Announce struct {
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -171,7 +171,7 @@
 		return "no server can lead the request now; if none can lead it before, " + refusal
 	case svc.Model != nil && o.loss-o.refusalLoss >= limit && !w.Retried:
 		return "other requests would lose more than this one can earn; unless that changes, " + refusal
-	case now+micros(o.firstMs) > svc.lastStart(w):
+	case now+micros(o.firstMs) > c.lastStart(w, svc):
 		return "the first event would come too late; unless that changes, " + refusal
 	}
 	return "an option with less loss is expected in time"
--- a/internal/dispatch/score.go
+++ b/internal/dispatch/score.go
@@ -245,7 +245,7 @@
 // none. It returns nil if no engine can lead now.
 func (c *Core) engineOption(now core.Micros, w *Work, list []*candidate) *option {
 	var best *option
-	lastStart := c.services[w.Service].lastStart(w)
+	lastStart := c.lastStart(w, c.services[w.Service])
 	startsInTime := func(o *option) bool { return now+micros(o.firstMs) <= lastStart }
 	demand := c.freeEngineDemand(now, w, list)
 	for _, n := range prefillEngineCounts {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -9,6 +9,7 @@
 //   - A server that is leaving or unknown is never assigned, whether its entry or the process itself says that it is
 //     leaving.
 //   - A server that asked this daemon for a pause is not assigned before its end.
+//   - On a stopping daemon, nothing is assigned whose answer is expected to end after the cut-off.
 //   - An evacuated server is never assigned, as lead or as helper.
 //   - A server that named a limit is not assigned beyond it, as far as the requests of all daemons are known.
 //   - A server that is cold is not assigned, as lead or helper, beyond this daemon's share of the rate of cold servers.
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -62,6 +62,9 @@
 		c.refuse(now, w, max(retryAfter, c.evacuationBound), "all servers of the service are evacuated")
 		return true
 	}
+	if c.refuseByStop(now, w, svc, svc.soonestFirstEvent(w)) {
+		return true
+	}
 	if svc.isWide(w) {
 		return c.assignOrRefuseWide(now, w, svc, ahead)
 	}
@@ -76,6 +79,9 @@
 			o = nil
 		}
 	}
+	if o != nil && svc.Model != nil && c.refuseByStop(now, w, svc, micros(o.firstMs)) {
+		return true
+	}
 	if o != nil && svc.Model != nil && now+micros(o.firstMs) > svc.lastStart(w) {
 		reason = fmt.Sprintf("first event would come in %.0f ms, too late for the answer to end before the caller leaves", o.firstMs)
 		o = nil
--- a/internal/dispatch/wide.go
+++ b/internal/dispatch/wide.go
@@ -76,9 +76,13 @@
 	if s.Model == nil || w.Prompt <= longTokens {
 		return min(w.AbandonAt, w.Deadline)
 	}
+	return min(w.AbandonAt, w.Deadline-s.longAnswer(w))
+}
+
+// longAnswer returns how long the answer to a long prompt takes from its first event on.
+func (s *service) longAnswer(w *Work) core.Micros {
 	context := min(w.Prompt, int(maxShardShare*float64(s.Model.KVTokens)))
-	answer := answerStretch * s.Model.AnswerMs(w.Answer, s.Model.Slots/2, context)
-	return min(w.AbandonAt, w.Deadline-micros(answer))
+	return micros(answerStretch * s.Model.AnswerMs(w.Answer, s.Model.Slots/2, context))
 }
 
 // enqueueWide returns the place of a request of this daemon in the queue of wide prompts.
@@ -193,6 +197,9 @@
 		}
 	}
 	wait := micros(aheadMs / float64(len(svc.servers)))
+	if c.refuseByStop(now, w, svc, wait+micros(q.cost/(maxHelpers+1))) {
+		return true
+	}
 	if now+wait+micros(q.cost/(maxHelpers+1)) > q.end {
 		c.refuse(now, w, max(retryAfter, wait), "the prompts that wait and this one take longer to read than its caller waits")
 		return true
@@ -210,7 +217,7 @@
 			return nil
 		}
 	}
-	if now+micros(o.firstMs) > svc.lastStart(w) {
+	if now+micros(o.firstMs) > c.lastStart(w, svc) {
 		return nil
 	}
 	return o
--- a/internal/edge/scheduler.go
+++ b/internal/edge/scheduler.go
@@ -218,7 +218,7 @@
 		case dispatch.Assign:
 			s.deliver(e.ID, placement{plan: e.Plan})
 		case dispatch.Refuse:
-			s.deliver(e.ID, placement{refusal: &forward.Refusal{RetryAfter: e.RetryAfter.Duration(), Reason: e.Reason}})
+			s.deliver(e.ID, placement{refusal: &forward.Refusal{RetryAfter: e.RetryAfter.Duration(), Reason: e.Reason, Elsewhere: e.Elsewhere}})
 		case dispatch.SetTimer:
 			s.timers.Set("waiting", e.At-s.now(), func() { s.Step(dispatch.Tick{Now: s.now()}) })
 		case dispatch.Announce:
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -7,21 +7,16 @@
 
 	"github.com/carobstile/carobstile/internal/bodybudget"
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/dispatch"
+	"github.com/carobstile/carobstile/internal/drain"
 )
 
-const (
-	// drainAcceptPeriod is how long a stopping daemon still accepts requests. The platform sends callers elsewhere
-	// after two failed checks, which are one second apart.
-	drainAcceptPeriod = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for ending the process.
-	exitReserve = 300 * time.Millisecond
-	// drainPollInterval is how often a stopping daemon checks whether its requests have ended.
-	drainPollInterval = 50 * time.Millisecond
-)
+// drainPollInterval is how often a stopping daemon checks whether its requests have ended.
+const drainPollInterval = 50 * time.Millisecond
 
 // stop performs a planned stop. The readiness check fails, so that callers go elsewhere, and the neighbours are
-// notified. Requests are still accepted for drainAcceptPeriod; after that, stop waits for open ones until exitReserve
-// before the end of the grace period and cuts off the rest.
+// notified. The scheduler refuses what cannot be served before the end. Requests are accepted and then refused until the open ones
+// have ended, and the rest is cut off before the end of the grace period.
 func (d *Daemon) stop(server *http.Server, connections *bodybudget.Listener) {
 	defer close(d.drained)
 	grace := d.latestSettings.Load().stopGrace()
@@ -33,12 +28,14 @@
 		defer close(entryRemoved)
 		d.removeOwnEntry()
 	}()
+	plan := drain.NewPlan(d.now(), core.FromDuration(grace))
+	d.scheduler.Step(dispatch.Stopping{Now: plan.Began, CutOffAt: plan.CutOffAt})
 	server.SetKeepAlivesEnabled(false)
 	s := &stopper{
-		requests: d.handler, connections: connections, entryRemoved: entryRemoved, log: d.log, now: d.now, sleep: time.Sleep,
+		plan: plan, requests: d.handler, connections: connections, entryRemoved: entryRemoved, log: d.log, now: d.now, sleep: time.Sleep,
 		closeServer: func() { _ = server.Close() }, // open requests are cut off on purpose
 	}
-	s.run(core.FromDuration(grace))
+	s.run()
 }
 
 // openWork is what a stopping daemon waits for.
@@ -55,6 +52,7 @@
 
 // stopper ends the requests and connections of a stopping daemon.
 type stopper struct {
+	plan         drain.Plan
 	requests     openWork
 	connections  callerConnections
 	entryRemoved <-chan struct{}
@@ -64,12 +62,12 @@
 	sleep        func(time.Duration)
 }
 
-func (s *stopper) run(grace core.Micros) {
-	began := s.now()
+func (s *stopper) run() {
+	began := s.plan.Began
 	s.logConnections("connections of callers when the stop began", began)
-	s.sleep((began + core.FromDuration(drainAcceptPeriod) - s.now()).Duration())
+	s.sleep((s.plan.RefuseFrom - s.now()).Duration())
 	s.requests.Drain()
-	deadline := began + grace - core.FromDuration(exitReserve)
+	deadline := s.plan.CutOffAt
 	for s.requests.OpenRequests() > 0 && s.now() < deadline {
 		s.sleep(drainPollInterval)
 	}
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobstile/carobstile/internal/bodybudget"
 	"github.com/carobstile/carobstile/internal/core"
+	"github.com/carobstile/carobstile/internal/drain"
 	"github.com/carobstile/carobstile/internal/evlog"
 )
 
@@ -44,7 +45,7 @@
 func (f *fakeLoad) run(entryRemovedAt time.Duration) {
 	removed := make(chan struct{})
 	s := &stopper{
-		requests: f, connections: f, entryRemoved: removed, log: evlog.Discard(), now: func() core.Micros { return f.now },
+		plan: drain.NewPlan(0, 8*core.Second), requests: f, connections: f, entryRemoved: removed, log: evlog.Discard(), now: func() core.Micros { return f.now },
 		sleep: func(d time.Duration) {
 			before := f.now
 			f.now += max(core.Millisecond, core.FromDuration(d))
@@ -54,7 +55,7 @@
 		},
 		closeServer: func() { f.closedAt, f.closedExchanging = f.now, f.exchanging(f.now.Duration()) },
 	}
-	s.run(8 * core.Second)
+	s.run()
 }
 
 // Guards against a stop that closes the connection of a request that has ended, before its answer is written to its end.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -373,6 +373,10 @@
 		q.reject(http.StatusBadGateway, refusal.Reason)
 		return
 	}
+	if refusal.Elsewhere && q.relayed != nil {
+		q.decline(refusal.Reason)
+		return
+	}
 	q.rejectNotRun(http.StatusServiceUnavailable, refusal.RetryAfter, refusal.Reason)
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -100,9 +100,14 @@
 	default:
 		return false
 	}
+	q.decline(reason)
+	return true
+}
+
+// decline tells the daemon that has passed the request on to ask another neighbour.
+func (q *request) decline(reason string) {
 	q.w.Header().Set(headerRelayOutcome, relayDeclined)
 	q.reject(http.StatusServiceUnavailable, reason)
-	return true
 }
 
 // attemptRelay passes the request on to a neighbour once.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -109,6 +109,8 @@
 type Refusal struct {
 	RetryAfter time.Duration
 	Reason     string
+	// Elsewhere is set if only this daemon cannot serve the request.
+	Elsewhere bool
 }
 
 func (r *Refusal) Error() string { return r.Reason }
