forward: what is open at the end of a stop gets an answer

Callers whose requests were at a server, waiting, or still sending their body at the end of the grace period got a closed connection, which says nothing: not whether the request has run, nor when to return. Cause: the end was a close of the server's sockets, outside the code that answers requests. At the cut-off each open request is now cancelled with a cause of its own, and the code that answers failures answers: 503 if no server can have run it, 502 if one may have, "declined" to a daemon that has passed it on; only an answer that has begun is broken off. A body that has not arrived is read on for 150 ms after the refusal, so that a reset does not destroy it.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -14,6 +14,9 @@
 // drainPollInterval is how often a stopping daemon checks whether its requests have ended.
 const drainPollInterval = 50 * time.Millisecond
 
+// answerPollInterval is how often it checks whether requests that were cut off are answered.
+const answerPollInterval = 5 * time.Millisecond
+
 // stop performs a planned stop. The readiness check fails, so that callers go elsewhere, and the neighbours are
 // notified. The scheduler refuses what cannot be served before the end. Requests are accepted and then refused until the open ones
 // have ended, and the rest is cut off before the end of the grace period.
@@ -78,6 +81,9 @@
 		s.log.Warn("own entry is not removed: the store has not answered")
 	}
 	s.requests.CutOff(began)
+	for s.requests.OpenRequests() > 0 && s.now() < s.plan.CloseBy {
+		s.sleep(answerPollInterval)
+	}
 	s.logConnections("connections of callers closed by the stop", began)
 	s.closeServer()
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -383,21 +383,19 @@
 // failUnanswered answers a request that got no answer before its deadline or within its attempts. If the caller has
 // left, it only records the end and aborts the handler.
 func (q *request) failUnanswered() {
-	callerLeft := q.r.Context().Err() != nil && !q.h.cutOff.Load()
+	callerLeft := q.r.Context().Err() != nil && !q.stopped()
 	timedOut := errors.Is(q.ctx.Err(), context.DeadlineExceeded)
 	switch {
 	case callerLeft:
 		q.reason = "caller left"
 		q.recordEnd(0)
 		panic(http.ErrAbortHandler)
-	case q.r.Context().Err() != nil:
-		q.reason = reasonStopped
-		q.recordEnd(0)
-		panic(http.ErrAbortHandler)
 	case q.headerSent:
 		q.abortAnswer()
 	case q.serverError != nil:
 		q.forwardAnswer(q.serverError)
+	case q.stopped():
+		q.failStopped()
 	case !q.mayHaveRun:
 		q.rejectNotRun(http.StatusServiceUnavailable, q.returnAfterRefusals(), "no server took the request: "+q.reason)
 	case timedOut:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -31,6 +31,8 @@
 	// retryAfterRefused is the Retry-After if servers refused the request and its repeats are used up, while another server takes most of
 	// what it gets. The caller's return is a new request with a first attempt of its own, and can still be on time.
 	retryAfterRefused = 20 * time.Millisecond
+	// retryAfterStopping is the Retry-After of a daemon that stops. Other daemons can take the request at once.
+	retryAfterStopping = 20 * time.Millisecond
 	// retryAfterNoConfig is the Retry-After of a daemon without a configuration, which was started during an outage of
 	// the store. Outages last seconds, and callers retry only once or twice.
 	retryAfterNoConfig = 2 * time.Second
@@ -152,7 +154,10 @@
 	q.setWriteDeadline(q.timeoutAt.Add(answerGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), q.timeoutAt)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	q.ctx = ctx
+	q.onCutOff(func() { end(errStopped) })
 	defer func() { h.bufferedBytes.Add(-q.bufferedBytes) }()
 	q.serve()
 }
@@ -195,11 +200,7 @@
 	if !q.h.draining.Load() {
 		return false
 	}
-	if q.declineRelayed() {
-		return true
-	}
-	q.w.Header().Set("Connection", "close")
-	q.rejectNotRun(http.StatusServiceUnavailable, retryAfterTransient, "daemon is stopping")
+	q.rejectStopping()
 	return true
 }
 
@@ -230,10 +231,16 @@
 	if q.r.ContentLength > limit {
 		return q.reject(http.StatusRequestEntityTooLarge, "body exceeds the limit")
 	}
+	control := http.NewResponseController(q.w)
+	q.onCutOff(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }) // unsupported only by test recorders
 	body, err := q.h.Bodies.Read(bodybudget.Source{
 		Body: q.r.Body, Announced: q.r.ContentLength, Limit: limit, Overhead: bodybudget.HeaderBytes(q.r.Header),
-		Deadline: time.Now().Add(bodyTimeout), SetReadDeadline: http.NewResponseController(q.w).SetReadDeadline,
+		Deadline: time.Now().Add(bodyTimeout), SetReadDeadline: control.SetReadDeadline,
 	})
+	q.onCutOff(nil)
+	if err != nil && q.h.cutOff.Load() {
+		return q.refuseUnfinished()
+	}
 	if err != nil {
 		q.w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
--- a/internal/forward/open.go
+++ b/internal/forward/open.go
@@ -1,7 +1,13 @@
 package forward
 
 import (
+	"context"
+	"io"
+	"net/http"
 	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/carobstile/carobstile/internal/core"
 	"github.com/carobstile/carobstile/internal/evlog"
@@ -29,6 +35,8 @@
 	stage    stage
 	server   string
 	deadline core.Micros // 0 until it is known
+	// end ends what the request waits for at the cut-off of a stop; nil if it waits for nothing.
+	end func()
 }
 
 func (p *progress) enter(s stage, server string) {
@@ -43,6 +51,20 @@
 	p.deadline = at
 }
 
+func (p *progress) setEnd(end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end = end
+}
+
+func (p *progress) cutOff() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.end != nil {
+		p.end()
+	}
+}
+
 func (p *progress) get() (s stage, server string, deadline core.Micros) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,12 +108,59 @@
 	return out
 }
 
+// errStopped is the cause with which requests are cancelled at the cut-off of a stop.
+var errStopped = errors.New("daemon is stopping")
+
+// onCutOff sets what ends the request at the cut-off of a stop, or nil.
+func (q *request) onCutOff(end func()) {
+	q.progress.setEnd(end)
+	if end != nil && q.h.cutOff.Load() {
+		end()
+	}
+}
+
+// stopped reports whether the stop of the daemon has ended the request.
+func (q *request) stopped() bool { return q.ctx != nil && errors.Is(context.Cause(q.ctx), errStopped) }
+
+// unfinishedBodyLinger is how long an unfinished body is read after its refusal, so that the caller gets that before its connection is reset.
+const unfinishedBodyLinger = 150 * time.Millisecond
+
+// refuseUnfinished refuses a request whose body had not arrived at the cut-off of a stop. It returns false.
+func (q *request) refuseUnfinished() bool {
+	control := http.NewResponseController(q.w)
+	_ = control.EnableFullDuplex() // unsupported only by test recorders, as are the calls below
+	q.rejectStopping()
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(unfinishedBodyLinger))
+	_, _ = io.Copy(io.Discard, q.r.Body) // ends with the connection or the deadline
+	return false
+}
+
+// rejectStopping refuses a request that has not run, since the daemon stops.
+func (q *request) rejectStopping() {
+	q.w.Header().Set("Connection", "close")
+	if q.relayed != nil {
+		q.decline(errStopped.Error())
+		return
+	}
+	q.rejectNotRun(http.StatusServiceUnavailable, retryAfterStopping, errStopped.Error())
+}
+
+// failStopped answers a request that the cut-off of a stop has ended and whose answer has not begun.
+func (q *request) failStopped() {
+	if !q.mayHaveRun {
+		q.rejectStopping()
+		return
+	}
+	q.reject(http.StatusBadGateway, "daemon is stopping, and a server may have run the request")
+}
+
 // reasonStopped is the reason of requests that the stop of the daemon has cut off.
 const reasonStopped = "cut off by the stop of the daemon"
 
 // reasonUnwritten returns why an answer could not be written to the caller.
 func (q *request) reasonUnwritten() string {
-	if q.h.cutOff.Load() {
+	if q.stopped() {
 		return reasonStopped
 	}
 	return "caller left"
@@ -100,7 +169,7 @@
 // reasonOfEnd returns why a stream was ended before its server had.
 func (q *request) reasonOfEnd() string {
 	switch {
-	case q.h.cutOff.Load():
+	case q.stopped():
 		return reasonStopped
 	case q.r.Context().Err() != nil:
 		return "caller left"
@@ -111,13 +180,14 @@
 // maxCutOffLines bounds the log lines about single requests that a stop cuts off.
 const maxCutOffLines = 200
 
-// CutOff logs and counts the requests in progress, which the stop of the daemon is about to end. stopping is when the stop began. Requests
-// that end later don't count as left by their callers.
+// CutOff ends the requests in progress: what they wait for is cancelled, so that they are answered now. stopping is when the stop of the daemon
+// began.
 func (h *Handler) CutOff(stopping core.Micros) {
 	h.cutOff.Store(true)
 	now := h.Now()
 	var counts [stageCount]int
-	for n, q := range h.open.list() {
+	open := h.open.list() // later ones are refused
+	for n, q := range open {
 		at, server, deadline := q.progress.get()
 		counts[at]++
 		h.Metrics.recordCutOff(at)
@@ -126,6 +196,9 @@
 				"left_ms", millis(max(0, deadline-now)), "stopping_ms", millis(now-stopping))
 		}
 	}
+	for _, q := range open {
+		q.progress.cutOff()
+	}
 	for at, n := range counts {
 		if n > 0 {
 			h.Log.Warn("open requests cut off", "stage", stage(at), "open", n, "stopping_ms", millis(now-stopping))
--- a/internal/forward/shortfall.go
+++ b/internal/forward/shortfall.go
@@ -33,7 +33,7 @@
 		return q.lateness()
 	}
 	switch {
-	case q.r != nil && q.r.Context().Err() != nil && q.h.cutOff.Load():
+	case q.stopped() && (status == 0 || status == http.StatusBadGateway):
 		return shortfallStopped
 	case q.r != nil && q.r.Context().Err() != nil:
 		return shortfallCallerLeft
