forward, edge: a stop closes no idle connection under its caller

Callers that sent a request on a kept connection when its daemon got SIGTERM found the connection closed; a caller of a request that may run only once can't know whether it has. Others lost the connection after an answer that had not said that it would be closed. Cause: http.Server.SetKeepAlivesEnabled(false) closes idle connections at once, and others after their present answer. From the SIGTERM on every answer says "Connection: close" and ends its connection; idle ones stay open until the daemon has nothing else to do, and what comes on them is served, or refused after the time in which the daemon accepts.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -33,7 +33,7 @@
 	}()
 	plan := drain.NewPlan(d.now(), core.FromDuration(grace))
 	d.scheduler.Step(dispatch.Stopping{Now: plan.Began, CutOffAt: plan.CutOffAt})
-	server.SetKeepAlivesEnabled(false)
+	d.handler.Stop()
 	s := &stopper{
 		plan: plan, requests: d.handler, connections: connections, entryRemoved: entryRemoved, log: d.log, now: d.now, sleep: time.Sleep,
 		closeServer: func() { _ = server.Close() }, // open requests are cut off on purpose
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -127,6 +127,7 @@
 	q.progress.enter(stageAnswer, q.lastServer)
 	copyHeader(q.w.Header(), answer.header)
 	q.sayRelaySends()
+	q.endConnection()
 	q.w.WriteHeader(answer.status)
 	for _, chunk := range answer.body {
 		if _, err := q.w.Write(chunk); err != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -67,6 +67,8 @@
 	Log     *slog.Logger
 	Metrics *Metrics
 
+	// stopping is set from the beginning of a stop on, draining once new requests are refused.
+	stopping atomic.Bool
 	draining atomic.Bool
 	// cutOff is set once the stop of the daemon ends the requests in progress.
 	cutOff atomic.Bool
@@ -78,6 +80,16 @@
 	pending       pendingAttempts
 }
 
+// Stop makes the handler say in all answers that their connections end. Requests are served as before.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// endConnection says in an answer whose header is not sent yet that its connection ends, if the daemon is stopping.
+func (q *request) endConnection() {
+	if q.h.stopping.Load() {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
 // Drain makes the handler reject new requests.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
@@ -301,6 +313,7 @@
 	header := q.w.Header()
 	q.h.HeaderCodec.SetRequestID(header, q.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	q.endConnection()
 	q.w.WriteHeader(status)
 	_, _ = io.WriteString(q.w, reason+"\n") // fails only if the caller has left
 	q.reason = reason
--- a/internal/forward/open.go
+++ b/internal/forward/open.go
@@ -138,7 +138,6 @@
 
 // rejectStopping refuses a request that has not run, since the daemon stops.
 func (q *request) rejectStopping() {
-	q.w.Header().Set("Connection", "close")
 	if q.relayed != nil {
 		q.decline(errStopped.Error())
 		return
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -228,6 +228,7 @@
 	q.stream.mediaType = mediaType(resp)
 	copyHeader(q.w.Header(), resp.Header)
 	q.sayRelaySends()
+	q.endConnection()
 	q.w.Header().Del("Content-Length") // the length can differ if another server resumes the stream
 	q.w.WriteHeader(resp.Status)
 }
