edge: a stop ends when the answers are written, and looks at its connections until then

A caller whose answer was complete could lose its end: the connection was closed while net/http still wrote what was buffered. After a wait for the store, requests that had arrived meanwhile were closed without a look. Cause: a request counted as ended when its handler returned, and each step of the stop was taken once, in order. The address for daemons has 100 ms to write its last answers. A daemon that was frozen beyond its end still has the time to write answers.

--- a/internal/bodybudget/connections.go
+++ b/internal/bodybudget/connections.go
@@ -205,6 +205,9 @@
 	New, Idle int
 }
 
+// Total returns the number of connections.
+func (c Connections) Total() int { return c.Exchanging + c.Arriving + c.New + c.Idle }
+
 // Connections returns the open connections.
 func (l *Listener) Connections() Connections {
 	l.mu.Lock()
@@ -225,6 +228,22 @@
 	return out
 }
 
+// CloseQuiet closes the connections that await a request, and on which nothing has happened for the given time.
+func (l *Listener) CloseQuiet(quiet time.Duration) {
+	before := l.budget.opts.Now().Add(-quiet)
+	l.mu.Lock()
+	var closeNow []*connection
+	for c, s := range l.conns {
+		if s.awaitsRequest() && s.headers == 0 && !s.closing && s.since.Before(before) && l.closeAwaiting(c) {
+			closeNow = append(closeNow, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range closeNow {
+		_ = c.Close()
+	}
+}
+
 // replace sets the state of a connection and counts its headers. The caller holds mu.
 func (l *Listener) replace(c *connection, s connectionState) {
 	change := s.countedHeaders() - l.conns[c].countedHeaders()
--- a/internal/bodybudget/connections_test.go
+++ b/internal/bodybudget/connections_test.go
@@ -103,3 +103,30 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return b.Held() == ConnBytes }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against a stop that closes a connection under a request: one that is being answered, whose header is arriving, or that was sent just now.
+func TestCloseQuietLeavesRequestsAlone(t *testing.T) {
+	_, l, connect, release := headerServer(t)
+	answered := connect([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	waiting := connect([]byte("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n"))
+	arriving := connect([]byte("GET / HTTP/1.1\r\nHost:"))
+	fresh := connect(nil)
+	want := Connections{Exchanging: 1, Arriving: 1, New: 1, Idle: 1}
+	require.Eventually(t, func() bool { return l.Connections() == want }, time.Second, time.Millisecond)
+	l.CloseQuiet(time.Minute)
+	require.Equal(t, want, l.Connections())
+	time.Sleep(20 * time.Millisecond)
+	l.CloseQuiet(10 * time.Millisecond)
+	require.Eventually(t, func() bool { return l.Connections() == Connections{Exchanging: 1, Arriving: 1} }, time.Second, time.Millisecond)
+	_, err := fresh.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	_, err = io.ReadAll(answered)
+	require.NoError(t, err, "closed in order after its answer")
+	_, err = arriving.Write([]byte(" x\r\n\r\n"))
+	require.NoError(t, err)
+	release()
+	for _, c := range []net.Conn{waiting, arriving} {
+		_, err := c.Read(make([]byte, 1))
+		require.NoError(t, err)
+	}
+}
--- a/internal/drain/plan.go
+++ b/internal/drain/plan.go
@@ -34,3 +34,9 @@
 		CloseBy:  now + grace - min(exitReserve, share(maxExitShare)),
 	}
 }
+
+// CutOff returns the plan from the cut-off on, which comes late if the process was frozen: answers then get the same time to be written.
+func (p Plan) CutOff(now core.Micros) Plan {
+	p.CloseBy += max(0, now-p.CutOffAt)
+	return p
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -22,6 +22,8 @@
 	// idleMargin keeps connections open beyond the idle time, so that a request sent at its very end still finds its
 	// connection open.
 	idleMargin = 2 * time.Second
+	// peerAnswerTime is how long a stopping daemon waits, after the requests of neighbours have ended, until their answers are written.
+	peerAnswerTime = 100 * time.Millisecond
 )
 
 // serve opens the daemon's TCP addresses and adds their servers to the environment.
@@ -44,12 +46,13 @@
 	for _, s := range []struct {
 		name, address string
 		handler       http.Handler
+		grace         time.Duration
 	}{
-		{"ready", d.settings.ReadyAddress, http.HandlerFunc(d.serveReady)},
-		{"daemons", d.settings.ServiceAddress, d.handler.ServeDaemons(peers)},
-		{"metrics", d.settings.MetricsAddress, d.metricsHandler()},
+		{"ready", d.settings.ReadyAddress, http.HandlerFunc(d.serveReady), 0},
+		{"daemons", d.settings.ServiceAddress, d.handler.ServeDaemons(peers), peerAnswerTime},
+		{"metrics", d.settings.MetricsAddress, d.metricsHandler(), 0},
 	} {
-		if err := env.Serve(s.name, s.address, s.handler, 0); err != nil {
+		if err := env.Serve(s.name, s.address, s.handler, s.grace); err != nil {
 			return err
 		}
 	}
@@ -62,7 +65,7 @@
 
 func (d *Daemon) serveCallers(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !d.draining.Load() {
 		return err
 	}
 	<-d.drained
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -21,6 +21,8 @@
 	cutOffAt         core.Micros
 	closedAt         core.Micros
 	closedExchanging int
+	// freezeAt and frozenFor are when the process is frozen, and for how long; 0 if it is not.
+	freezeAt, frozenFor core.Micros
 }
 
 func (f *fakeLoad) OpenRequests() int64 { return int64(f.open(f.now.Duration())) }
@@ -31,6 +33,9 @@
 	return bodybudget.Connections{Exchanging: f.exchanging(f.now.Duration())}
 }
 
+func (f *fakeLoad) CloseQuiet(time.Duration) {}
+func (f *fakeLoad) Close() error             { return nil }
+
 // until returns a number that holds until a time, and 0 afterwards.
 func until(n int, end time.Duration) func(time.Duration) int {
 	return func(at time.Duration) int {
@@ -49,6 +54,9 @@
 		sleep: func(d time.Duration) {
 			before := f.now
 			f.now += max(core.Millisecond, core.FromDuration(d))
+			if f.frozenFor > 0 && f.now > f.freezeAt {
+				f.now, f.frozenFor = f.now+f.frozenFor, 0
+			}
 			if at := core.FromDuration(entryRemovedAt); before < at && at <= f.now {
 				close(removed)
 			}
@@ -66,6 +74,23 @@
 	require.Less(t, f.closedAt, 4*core.Second)
 }
 
+// Guards against a daemon that was frozen beyond its grace period and closes connections before their last answers are written.
+func TestFrozenStopStillAnswers(t *testing.T) {
+	f := &fakeLoad{}
+	f.exchanging = func(time.Duration) int {
+		if f.cutOffAt > 0 && f.now > f.cutOffAt+50*core.Millisecond {
+			return 0
+		}
+		return 1
+	}
+	f.open = f.exchanging
+	f.freezeAt, f.frozenFor = 4*core.Second, 10*core.Second
+	f.run(time.Second)
+	require.GreaterOrEqual(t, f.cutOffAt, 14*core.Second)
+	require.Zero(t, f.closedExchanging)
+	require.Less(t, f.closedAt, 15*core.Second)
+}
+
 // Guards against a stop that closes connections without another look at them after it has waited for the store.
 func TestStopLooksAgainAfterItsEntryIsRemoved(t *testing.T) {
 	arriving := func(at time.Duration) int {
