edge: a stop closes quiet connections as soon as it refuses requests

Callers whose connection was idle at the SIGTERM and who sent later than 2.5 s after it were refused on it, and one that has a single repeat had used it up.

--- a/internal/drain/phase.go
+++ b/internal/drain/phase.go
@@ -12,9 +12,9 @@
 const (
 	// Accepting serves requests that can end before the cut-off.
 	Accepting Phase = iota + 1
-	// Refusing refuses new requests and lets open ones end.
+	// Refusing refuses new requests, closes quiet connections and lets open requests end.
 	Refusing
-	// Settling takes no new connections and closes those that are quiet.
+	// Settling takes no new connections until the open ones are quiet.
 	Settling
 	// CuttingOff ends open requests and lets their answers be written.
 	CuttingOff
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -72,8 +72,8 @@
 	for phase := s.phase(); phase < drain.CuttingOff; phase = s.phase() {
 		if phase == drain.Settling {
 			_ = s.connections.Close() // fails only if it is closed
-			s.connections.CloseQuiet(drain.QuietTime.Duration())
 		}
+		s.connections.CloseQuiet(drain.QuietTime.Duration()) // their callers' next requests would be refused here
 		s.sleep(stopPollInterval)
 	}
 	if !s.isEntryRemoved() {
