gate: requests that are open when the time of a shutdown is over get an answer

Callers of requests that were still open after stopGraceMs got a closed connection (EOF in the new test), not whether the request had run nor that another gate takes it. Cause: the end of the shutdown was fed to the reducer as if each caller had disconnected. gatecore.ShutdownEnded fails each open request with shutting_down and what is known of its run; a claimed call gets outcome_unknown and goes on until its outcome is recorded, as after a disconnect; an answer that is complete goes on being written.

--- a/internal/gate/callers_test.go
+++ b/internal/gate/callers_test.go
@@ -166,6 +166,33 @@
 	require.Equal(t, []int{1}, cancels)
 }
 
+// Guards against open requests that a gate ends at its shutdown with a closed connection and no word on whether they have run.
+func TestShutdownAnswersOpenRequests(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.engines.Script = func(EngineCall) ([]FakeStep, error) { return []FakeStep{{Hang: true}}, nil }
+	})
+	answers := make(chan string, 2)
+	for _, body := range []string{nonStreamedBody, streamedBody} {
+		go func() {
+			_, text := f.chat(body)
+			answers <- string(text)
+		}()
+	}
+	f.requireOpenRequests(2, second)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, f.gate.Shutdown(ctx), context.DeadlineExceeded)
+	for range 2 {
+		select {
+		case got := <-answers:
+			require.Contains(t, got, `"code":"shutting_down"`)
+			require.Contains(t, got, `"run":"`)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "a caller has no answer")
+		}
+	}
+}
+
 // Guards against a caller that occupies a handler beyond its deadline by sending its body slowly.
 func TestSlowBodyIsRefused(t *testing.T) {
 	f := newFixture(t, nil)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -111,7 +111,7 @@
 }
 
 // Shutdown refuses new requests and waits until the open ones have ended and their claims and grants are settled. If
-// ctx ends first, it aborts the remaining requests and returns the context's error. The HTTP server must keep serving
+// ctx ends first, it fails the remaining requests and returns the context's error. The HTTP server must keep serving
 // until Shutdown returns and be shut down afterwards, so that the last errors are written.
 func (g *Gate) Shutdown(ctx context.Context) error {
 	g.step(gatecore.ShutdownStarted{Now: g.now()})
@@ -135,12 +135,11 @@
 // abortGrace is the time to notify engines and the platform of aborted requests before all remaining work is cancelled.
 const abortGrace = time.Second
 
-// abortOpen ends all open requests as if their callers had disconnected. It cancels the work that is still running
-// after abortGrace.
+// abortOpen ends all open requests; their callers are told whether they have run. It cancels the work that is still running after abortGrace.
 func (g *Gate) abortOpen(done <-chan struct{}) {
 	g.mu.Lock()
 	for _, h := range slices.Sorted(maps.Keys(g.activeRequests)) {
-		g.stepLocked(gatecore.CallerDisconnected{Now: g.now(), Request: h})
+		g.stepLocked(gatecore.ShutdownEnded{Now: g.now(), Request: h})
 	}
 	g.mu.Unlock()
 	grace := time.NewTimer(abortGrace)
--- a/internal/gatecore/core.go
+++ b/internal/gatecore/core.go
@@ -39,7 +39,7 @@
 	stageDispatched              // sent to a backend server that has not answered yet
 	stageStreaming               // the backend server is sending its answer
 	stageDraining                // the answer is complete and is being written to the caller
-	stageDetached                // the caller disconnected; the call continues so that its outcome is recorded
+	stageDetached                // the caller disconnected, or was told that the gate shuts down; the call continues so that its outcome is recorded
 	stageEnded                   // ended; a ClaimResult or GrantResult may still be pending
 )
 
@@ -136,6 +136,8 @@
 		c.answerWritten(e)
 	case TimerFired:
 		c.timerFired(e)
+	case ShutdownEnded:
+		c.shutdownEnded(e)
 	case ShutdownStarted:
 		c.shuttingDown = true
 	}
@@ -340,6 +342,22 @@
 	c.end(r)
 }
 
+// shutdownEnded fails a request that is open when the time of the shutdown is over. An answer that is complete goes on being written, and a dispatched
+// non-idempotent call continues without its caller as after a disconnect.
+func (c *Core) shutdownEnded(e ShutdownEnded) {
+	r := c.activeRequest(e.Now, e.Request)
+	if r == nil || r.stage == stageDetached || r.stage == stageDraining {
+		return
+	}
+	const message = "the gate shut down before the answer was complete"
+	if r.attemptInProgress() && r.claimHeld {
+		c.emit(Fail{Request: e.Request, Failure: r.failure(CodeOutcomeUnknown, message)})
+		r.stage = stageDetached
+		return
+	}
+	c.fail(r, CodeShuttingDown, message)
+}
+
 func (c *Core) answerWritten(e AnswerWritten) {
 	r := c.activeRequest(e.Now, e.Request)
 	if r == nil || r.stage != stageDraining {
--- a/internal/gatecore/events.go
+++ b/internal/gatecore/events.go
@@ -217,6 +217,12 @@
 	Now core.Micros
 }
 
+// ShutdownEnded says that the time of a shutdown is over for a request that is still open.
+type ShutdownEnded struct {
+	Now     core.Micros
+	Request RequestHandle
+}
+
 func (RequestArrived) event()     {}
 func (ClaimResult) event()        {}
 func (GrantResult) event()        {}
@@ -233,3 +239,4 @@
 func (AnswerWritten) event()      {}
 func (TimerFired) event()         {}
 func (ShutdownStarted) event()    {}
+func (ShutdownEnded) event()      {}
--- a/internal/gatecore/property_test.go
+++ b/internal/gatecore/property_test.go
@@ -261,7 +261,9 @@
 	if h == 0 {
 		return
 	}
-	switch rapid.IntRange(0, 4).Draw(s.t, "caller") {
+	switch rapid.IntRange(0, 5).Draw(s.t, "caller") {
+	case 5:
+		s.step(ShutdownEnded{Now: s.now, Request: h})
 	case 0:
 		s.step(CallerDisconnected{Now: s.now, Request: h})
 	case 1:
--- a/internal/gatecore/types.go
+++ b/internal/gatecore/types.go
@@ -19,6 +19,7 @@
 		AnswerWritten{},
 		TimerFired{},
 		ShutdownStarted{},
+		ShutdownEnded{},
 		Refuse{},
 		Fail{},
 		Disconnect{},
