--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,6 +107,20 @@
 	requireNoViolations(t, s)
 }
 
+// Guards against requests that get no answer when daemons are stopped in a series, beside engines that are silent, SIGHUPs and configurations.
+func TestStopsBesideSilences(t *testing.T) {
+	t.Parallel()
+	s := Schedule{Seed: 55, Daemons: 5, Engines: 6, Plain: 3, Callers: 40, FaultsMs: 4_000, Stops: true, Faults: []Fault{
+		{AtMs: 300, Kind: DaemonsStop, Target: 0, Variant: stopHalf, ForMs: 200},
+		{AtMs: 800, Kind: EnginesSilent, Variant: silentAll, ForMs: 1_300},
+		{AtMs: 1_500, Kind: ConfigRoute, ForMs: 2_000},
+		{AtMs: 2_000, Kind: DaemonReload, Target: 0},
+		{AtMs: 3_000, Kind: DaemonsStop, Target: 1, Variant: stopMost, ForMs: 200},
+		{AtMs: 4_000, Kind: EnginesSilent, Variant: silentMost, ForMs: 1_100},
+	}}
+	requireNoViolations(t, s)
+}
+
 // Guards against more retries than the shared budget allows while all servers of a service fail.
 func TestRetryBudget(t *testing.T) {
 	t.Parallel()
