forward: a success that does not bear the mark of its server is a broken answer

Callers got a 200 without X-Stamp when a server spoiled that header, and took it for a valid answer. Cause: the stamp was read and used by nobody. A success without it now counts as a broken answer: another server is tried where the route allows it, otherwise the caller gets 502, as the server has run the request. It is no sign of a crash.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -313,6 +313,9 @@
 	}
 	q.sendCount++
 	q.mayHaveRun = true
+	if isSuccess(resp.Status) && !a.Accepted {
+		return q.failStream(plan, id, dispatch.FaultBroken, "success of the server does not say that it accepted the request"), nil
+	}
 	if q.route.Stream && resp.Status < http.StatusMultipleChoices && q.continuesStream(resp) {
 		return q.relayStream(detector, plan, id, resp, a), nil
 	}
@@ -324,6 +327,10 @@
 	return q.handleBuffered(detector, plan, id, resp)
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // handleNotRun handles the response of a server that did not run the request.
 func (q *request) handleNotRun(plan dispatch.Plan, id uint64, a ServerResponse) outcome {
 	q.h.Scheduler.RecordCancellation(id)
