forward: a request whose body arrived late is checked against the configuration in force then

Requests ran with a key, or by a route, that the operator had taken away while their body arrived, up to ten seconds later. Cause: route and key were looked up once, before the body. If another configuration has come in force when the body is complete, route and key are looked up again in that one, and the request is answered 404 or 401 where they are gone. TestLateBodyIsAllowedByTheConfigurationInForce failed before (200 instead of 401) and passes; a request that is still allowed runs.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -187,16 +187,21 @@
 	if q.rejectIfStopping() {
 		return false
 	}
-	q.route = q.table.Match(q.r.Host, q.r.URL.Path)
-	if q.route == nil {
-		return q.reject(http.StatusNotFound, "no route for host and path")
-	}
-	if !q.authenticate() {
+	if !q.allowed() {
 		return false
 	}
+	if q.workspace != nil && q.relayed == nil {
+		h.Metrics.workspaces.recordReceived(q.workspace.Name)
+	}
 	if !q.readBody() || q.rejectIfStopping() { // a body can arrive seconds after its header
 		return false
 	}
+	if latest := h.Table(); latest != q.table {
+		q.table = latest
+		if !q.allowed() {
+			return false
+		}
+	}
 	q.service = q.route.Pick(rand.Float64())
 	q.setDeadline()
 	q.traits = q.requestTraits()
@@ -216,7 +221,17 @@
 	return true
 }
 
+// allowed finds the route and the workspace in the configuration. If it returns false, it has answered the request.
+func (q *request) allowed() bool {
+	q.route = q.table.Match(q.r.Host, q.r.URL.Path)
+	if q.route == nil {
+		return q.reject(http.StatusNotFound, "no route for host and path")
+	}
+	return q.authenticate()
+}
+
 func (q *request) authenticate() bool {
+	q.workspace = nil
 	if !q.table.NeedsKey() || q.route.Public {
 		return true
 	}
@@ -224,9 +239,6 @@
 	if q.workspace == nil {
 		return q.reject(http.StatusUnauthorized, "unknown key")
 	}
-	if q.relayed == nil {
-		q.h.Metrics.workspaces.recordReceived(q.workspace.Name)
-	}
 	return true
 }
 
