bodybudget: a stop does not close a connection whose request has arrived and was not read

In a process that was not scheduled for a while, a request can wait in the socket of a connection that counts as quiet; closing it resets the caller. CloseQuiet looks for unread bytes first (MSG_PEEK).

--- a/internal/bodybudget/connections.go
+++ b/internal/bodybudget/connections.go
@@ -234,7 +234,8 @@
 	l.mu.Lock()
 	var closeNow []*connection
 	for c, s := range l.conns {
-		if s.awaitsRequest() && s.headers == 0 && !s.closing && s.since.Before(before) && l.closeAwaiting(c) {
+		quiet := s.awaitsRequest() && s.headers == 0 && !s.closing && s.since.Before(before) && !c.hasUnread()
+		if quiet && l.closeAwaiting(c) {
 			closeNow = append(closeNow, c)
 		}
 	}
@@ -244,6 +245,19 @@
 	}
 }
 
+// hasUnread reports whether bytes have arrived that the process has not read, as in one that was not scheduled.
+func (c *connection) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false // the connection is closed
+	}
+	unread := 0
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		unread, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return unread > 0
+}
+
 // replace sets the state of a connection and counts its headers. The caller holds mu.
 func (l *Listener) replace(c *connection, s connectionState) {
 	change := s.countedHeaders() - l.conns[c].countedHeaders()
--- a/internal/bodybudget/connections_test.go
+++ b/internal/bodybudget/connections_test.go
@@ -130,3 +130,24 @@
 		require.NoError(t, err)
 	}
 }
+
+// Guards against a connection that is closed although a request has arrived on it, in a process that was not scheduled meanwhile.
+func TestCloseQuietSeesUnreadBytes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(Options{LargeBytes: mib, ReservedBytes: 100 * ConnBytes}).Listen(listener, 50, slog.New(slog.DiscardHandler))
+	defer func() { _ = l.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, accepted.(*connection).hasUnread, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	l.CloseQuiet(10 * time.Millisecond)
+	n, err := accepted.Read(make([]byte, 100))
+	require.NoError(t, err)
+	require.Equal(t, 16, n)
+}
