forward: an answer at the cut-off of a stop never counts as left by its caller

Found by reading: the cut-off ends reads of a connection, which cancels the request's context as a caller who leaves does; a 503 written at that moment would be logged with shortfall=caller_left.

--- a/internal/forward/shortfall.go
+++ b/internal/forward/shortfall.go
@@ -35,7 +35,7 @@
 	switch {
 	case q.stopped() && (status == 0 || status == http.StatusBadGateway):
 		return shortfallStopped
-	case q.r != nil && q.r.Context().Err() != nil:
+	case q.r != nil && q.r.Context().Err() != nil && (status == 0 || !q.h.cutOff.Load()): // the cut-off ends reads of the connection, too
 		return shortfallCallerLeft
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout:
 		return shortfallRefused
