app: a SIGTERM that comes while a process starts is not lost

Cause, by its log: "process started" and the SIGTERM share their millisecond, and there is no "stopping". Between the registration of the channel that swallows repeated signals and that of the signal handler, which is an actor, a first SIGTERM went to the former alone; earlier it ended the process with what was in its accept queue. The channel of stop signals is registered before anything else now, and one actor reads it. TestStopSignalDuringTheStartIsNotLost guards it; the test of repeated signals no longer waits until the handler has started.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -53,6 +53,7 @@
 	// SIGHUP must not terminate the process during start-up or shutdown, so it is caught from here until exit.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	stop := catchStopSignals()
 	var opts options
 	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		return exitOnParseError(err)
@@ -81,7 +82,7 @@
 		env.Log.Error("process not started", "err", err)
 		return exitFailed
 	}
-	return runActors(env)
+	return runActors(env, stop)
 }
 
 // ProcessNamer is implemented by settings that define the name of their process.
@@ -104,13 +105,26 @@
 	return exitUsage
 }
 
-// runActors runs the actors until one of them returns or a stop signal arrives. The signal handler of run ends with the first
-// signal, after which a second SIGTERM would end the process with its requests unanswered. It is therefore caught until the exit.
-func runActors(env *Env) int {
-	repeated := make(chan os.Signal, 1)
-	signal.Notify(repeated, syscall.SIGTERM)
-	defer signal.Stop(repeated)
-	env.Group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
+// catchStopSignals returns the channel of stop signals. They are caught from here until exit: the first one must not be lost, however early it comes, and
+// later ones must not end the process with its requests unanswered.
+func catchStopSignals() <-chan os.Signal {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	return stop
+}
+
+// runActors runs the actors until one of them returns or a stop signal arrives, which may have come before. A second SIGINT ends the process at once.
+func runActors(env *Env, stop <-chan os.Signal) int {
+	ended := make(chan struct{})
+	env.Group.Add(func() error {
+		select {
+		case s := <-stop:
+			signal.Reset(syscall.SIGINT)
+			return &run.SignalError{Signal: s}
+		case <-ended:
+			return nil
+		}
+	}, func(error) { close(ended) })
 	env.Log.Info("process started", "pid", os.Getpid())
 	err := env.Group.Run()
 	if err != nil && !errors.As(err, new(*run.SignalError)) {
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -22,9 +22,9 @@
 		return nil
 	}, func(error) { close(stopping) })
 	code := make(chan int, 1)
-	go func() { code <- runActors(env) }()
+	stop := catchStopSignals()
+	go func() { code <- runActors(env, stop) }()
 	<-started
-	time.Sleep(100 * time.Millisecond) // the signal handler starts beside the other actors
 	for range 3 {
 		require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
 		select {
@@ -37,3 +37,19 @@
 	close(finished)
 	require.Equal(t, exitOK, <-code)
 }
+
+// Guards against a process that never stops because its SIGTERM came while it started.
+func TestStopSignalDuringTheStartIsNotLost(t *testing.T) {
+	env := &Env{Log: evlog.Discard(), Group: &run.Group{}}
+	stop := catchStopSignals()
+	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	time.Sleep(50 * time.Millisecond)
+	code := make(chan int, 1)
+	go func() { code <- runActors(env, stop) }()
+	select {
+	case got := <-code:
+		require.Equal(t, exitOK, got)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the signal was lost")
+	}
+}
